--- /dev/null
+++ b/cmd/mulberryhead/main.go
@@ -0,0 +1,65 @@
+// Command mulberryhead runs an entry instance and is the operators' command.
+//
+// Usage:
+//
+//	mulberryhead run --settings entry.toml
+//	mulberryhead check --document bench.toml --settings entry.toml
+//	mulberryhead publish --admin 127.0.0.1:8081 --document bench.toml
+//	mulberryhead promote --admin 127.0.0.1:8081 --environment bench
+//	mulberryhead status --admin 127.0.0.1:8081
+//	mulberryhead key
+//	mulberryhead load --callers 127.0.0.1:8080 --model joint-guide
+//
+// It exits with 0 when all went well, 1 when the command failed, and 2 when
+// the command line or the settings are wrong.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"mulberryhead.org/mulberryhead/internal/tomlpos"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type commands struct {
+	Run     runCommand     `command:"run" description:"run an entry instance until SIGTERM"`
+	Check   checkCommand   `command:"check" description:"check settings and documents without publishing"`
+	Publish publishCommand `command:"publish" description:"put a document into trial"`
+	Promote promoteCommand `command:"promote" description:"put the document in trial into production"`
+	Status  statusCommand  `command:"status" description:"show what is in force on one or more instances"`
+	Key     keyCommand     `command:"key" description:"make a random key and the hash that a document lists"`
+	Load    loadCommand    `command:"load" description:"load entry instances and verify every answer"`
+	Version versionCommand `command:"version" description:"print the version"`
+}
+
+func main() {
+	parser := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "mulberryhead routes pipelines that run language models and plain services."
+	_, err := parser.Parse()
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var problems *tomlpos.ProblemsError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return 0
+	case errors.As(err, &usage), errors.As(err, &problems):
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "mulberryhead:", err)
+	return exitFailed
+}
--- /dev/null
+++ b/internal/caller/admission.go
@@ -0,0 +1,257 @@
+package caller
+
+import (
+	"container/heap"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	// maxQueued bounds the requests that wait for a free place.
+	maxQueued = 4096
+	// idleTenant is when the state of a tenant without requests is dropped.
+	idleTenant = time.Minute
+	// durationWeight is the weight of the newest sample in the mean duration.
+	durationWeight = 0.1
+)
+
+// Ticket is a request that asks to be admitted.
+type Ticket struct {
+	Tenant environment.Tenant
+	// Cost is the predicted work, in tokens.
+	Cost float64
+	// Deadline is the longest wait that the request's class allows.
+	Deadline time.Duration
+
+	arrived  time.Time
+	started  time.Time
+	finish   float64
+	index    int
+	admitted chan *Problem
+}
+
+// NewTicket returns a ticket for one request.
+func NewTicket(tenant environment.Tenant, cost float64, deadline time.Duration) *Ticket {
+	return &Ticket{Tenant: tenant, Cost: cost, Deadline: deadline, index: -1, admitted: make(chan *Problem, 1)}
+}
+
+// Admitted gives nil once the request may run, or the problem that it ends
+// with.
+func (t *Ticket) Admitted() <-chan *Problem {
+	return t.admitted
+}
+
+type tenantState struct {
+	limiter *rate.Limiter
+	running int
+	queued  int
+	finish  float64
+	seen    time.Time
+}
+
+// Admission decides which request runs next and which is turned away. Requests
+// over the limit wait in a weighted fair queue; one that is predicted to wait
+// beyond its class's deadline is turned away at once. It is not safe for
+// concurrent use.
+type Admission struct {
+	limit   int
+	running int
+	tenants map[environment.TenantName]*tenantState
+	queue   fairQueue
+	virtual float64
+	// duration is how long a request runs, averaged over the latest.
+	duration time.Duration
+	share    float64
+}
+
+// NewAdmission returns an admission that lets limit requests run at once.
+func NewAdmission(limit int) *Admission {
+	return &Admission{limit: limit, tenants: map[environment.TenantName]*tenantState{}, share: 1}
+}
+
+// SetShare sets the part of each tenant's rate that this instance may use.
+func (a *Admission) SetShare(share float64) {
+	a.share = share
+}
+
+// Running returns the number of requests that run.
+func (a *Admission) Running() int {
+	return a.running
+}
+
+// Queued returns the number of requests that wait.
+func (a *Admission) Queued() int {
+	return len(a.queue)
+}
+
+func (a *Admission) tenant(now time.Time, t environment.Tenant) *tenantState {
+	state, ok := a.tenants[t.Name]
+	if !ok {
+		state = &tenantState{limiter: rate.NewLimiter(0, 0)}
+		a.tenants[t.Name] = state
+	}
+	state.seen = now
+	perSecond := t.RequestsPerSecond * a.share
+	if state.limiter.Limit() != rate.Limit(perSecond) {
+		state.limiter.SetLimitAt(now, rate.Limit(perSecond))
+		state.limiter.SetBurstAt(now, max(1, int(perSecond)))
+	}
+	return state
+}
+
+// Arrive takes a request. Its ticket is answered at once or by a later Done,
+// Expire or Abandon.
+func (a *Admission) Arrive(now time.Time, t *Ticket) {
+	t.arrived = now
+	state := a.tenant(now, t.Tenant)
+	if problem := a.turnAway(now, state, t); problem != nil {
+		t.admitted <- problem
+		return
+	}
+	if a.running < a.limit && len(a.queue) == 0 {
+		a.start(now, state, t)
+		return
+	}
+	start := max(a.virtual, state.finish)
+	t.finish = start + t.Cost/float64(t.Tenant.Weight)
+	state.finish = t.finish
+	state.queued++
+	heap.Push(&a.queue, t)
+}
+
+// turnAway returns the problem of a request that can't be served in time.
+func (a *Admission) turnAway(now time.Time, state *tenantState, t *Ticket) *Problem {
+	if state.running+state.queued >= t.Tenant.Concurrent {
+		return &Problem{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: a.wait(state.queued + 1)}
+	}
+	reservation := state.limiter.ReserveN(now, 1)
+	if !reservation.OK() || reservation.DelayFrom(now) > 0 {
+		delay := reservation.DelayFrom(now)
+		reservation.CancelAt(now)
+		return &Problem{Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up", RetryAfter: max(min(delay, time.Minute), time.Second)}
+	}
+	wait := a.wait(a.ahead(state, t) + 1)
+	if a.running < a.limit && len(a.queue) == 0 {
+		return nil
+	}
+	if len(a.queue) >= maxQueued || wait > t.Deadline {
+		return &Problem{Status: 503, Code: CodeOverloaded, Detail: "the wait would exceed the class's deadline", RetryAfter: max(wait, time.Second)}
+	}
+	return nil
+}
+
+// ahead counts the queued requests that would be served before t.
+func (a *Admission) ahead(state *tenantState, t *Ticket) int {
+	finish := max(a.virtual, state.finish) + t.Cost/float64(t.Tenant.Weight)
+	n := 0
+	for _, queued := range a.queue {
+		if queued.finish <= finish {
+			n++
+		}
+	}
+	return n
+}
+
+// wait predicts how long n places take to come free.
+func (a *Admission) wait(n int) time.Duration {
+	return time.Duration(n) * a.duration / time.Duration(a.limit)
+}
+
+func (a *Admission) start(now time.Time, state *tenantState, t *Ticket) {
+	t.started = now
+	a.running++
+	state.running++
+	t.admitted <- nil
+}
+
+// Done ends a request that ran, and starts those whose turn has come.
+func (a *Admission) Done(now time.Time, t *Ticket) {
+	a.running--
+	state := a.tenant(now, t.Tenant)
+	state.running--
+	a.sample(now.Sub(t.started))
+	a.Expire(now)
+	for a.running < a.limit && len(a.queue) > 0 {
+		next := heap.Pop(&a.queue).(*Ticket)
+		a.virtual = max(a.virtual, next.finish-next.Cost/float64(next.Tenant.Weight))
+		state := a.tenant(now, next.Tenant)
+		state.queued--
+		a.start(now, state, next)
+	}
+}
+
+func (a *Admission) sample(took time.Duration) {
+	if a.duration == 0 {
+		a.duration = took
+		return
+	}
+	a.duration += time.Duration(durationWeight * float64(took-a.duration))
+}
+
+// Expire turns away the queued requests whose deadline has passed, and drops
+// the state of idle tenants.
+func (a *Admission) Expire(now time.Time) {
+	for i := 0; i < len(a.queue); {
+		t := a.queue[i]
+		if now.Sub(t.arrived) <= t.Deadline {
+			i++
+			continue
+		}
+		a.remove(now, t)
+		t.admitted <- &Problem{
+			Status: 503, Code: CodeOverloaded, Detail: "the class's deadline passed in the queue",
+			RetryAfter: max(a.wait(len(a.queue)+1), time.Second),
+		}
+		i = 0
+	}
+	for name, state := range a.tenants {
+		if state.running+state.queued == 0 && now.Sub(state.seen) > idleTenant {
+			delete(a.tenants, name)
+		}
+	}
+}
+
+// Abandon drops a request whose caller has gone. It reports false when the
+// request runs already, so that Done must be called.
+func (a *Admission) Abandon(now time.Time, t *Ticket) bool {
+	if t.index < 0 {
+		return false
+	}
+	a.remove(now, t)
+	return true
+}
+
+func (a *Admission) remove(now time.Time, t *Ticket) {
+	heap.Remove(&a.queue, t.index)
+	a.tenant(now, t.Tenant).queued--
+}
+
+// fairQueue is a heap of tickets by their virtual finish.
+type fairQueue []*Ticket
+
+func (q fairQueue) Len() int           { return len(q) }
+func (q fairQueue) Less(i, j int) bool { return q[i].finish < q[j].finish }
+
+func (q fairQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *fairQueue) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(*q)
+	*q = append(*q, t)
+}
+
+// Pop implements heap.Interface.
+func (q *fairQueue) Pop() any {
+	old := *q
+	t := old[len(old)-1]
+	*q = old[:len(old)-1]
+	t.index = -1
+	return t
+}
--- /dev/null
+++ b/internal/caller/problem.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+)
+
+// Code is the stable code of a problem.
+type Code string
+
+// The codes of problems. Those of claim.Code stand beside them.
+const (
+	CodeUnauthorized         Code = "unauthorized"
+	CodeForbidden            Code = "forbidden"
+	CodeMalformed            Code = "malformed-request"
+	CodeTooLarge             Code = "request-too-large"
+	CodeUnknownModel         Code = "unknown-model"
+	CodeUnknownService       Code = "unknown-service"
+	CodeUnknownMethod        Code = "unknown-operation"
+	CodeNotFound             Code = "not-found"
+	CodeKeyMissing           Code = "idempotency-key-missing"
+	CodeKeyMalformed         Code = "idempotency-key-malformed"
+	CodeKeyTooOld            Code = "idempotency-key-too-old"
+	CodeKeyFromFuture        Code = "idempotency-key-from-future"
+	CodeKeyElsewhere         Code = "idempotency-key-bound-elsewhere"
+	CodeTenantRate           Code = "tenant-rate-exceeded"
+	CodeTenantBusy           Code = "tenant-concurrency-exceeded"
+	CodeOverloaded           Code = "overloaded"
+	CodeDraining             Code = "instance-leaving"
+	CodeNoRunners            Code = "no-runners"
+	CodeAnswerFailed         Code = "answer-failed"
+	CodeServiceFailed        Code = "service-failed"
+	CodeQuarantined          Code = "request-quarantined"
+	CodeInternal             Code = "internal"
+	problemContentType            = "application/problem+json"
+	outcomeHeader                 = "Mulberryhead-Outcome"
+	attemptHeader                 = "Mulberryhead-Attempt"
+	stageHeader                   = "Mulberryhead-Stage"
+	requestIDHeader               = "Mulberryhead-Request-Id"
+	idempotencyHeader             = "Idempotency-Key"
+	attemptNotRunValue            = "not-run"
+	maxRetryAfterSeconds          = 3600
+	defaultRetryAfterSeconds      = 1
+)
+
+// Problem is an error answer in the form of RFC 9457.
+type Problem struct {
+	Status int
+	Code   Code
+	Detail string
+	// Outcome is set for operations that run at most once.
+	Outcome claim.Answer
+	// RetryAfter is when to come back, 0 if coming back does not help.
+	RetryAfter time.Duration
+}
+
+func (p *Problem) Error() string {
+	return string(p.Code) + ": " + p.Detail
+}
+
+type wireProblem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Code    string `json:"code"`
+	Detail  string `json:"detail,omitempty"`
+	Outcome string `json:"outcome,omitempty"`
+}
+
+func problemToWire(p *Problem) wireProblem {
+	return wireProblem{
+		Type: "about:blank", Title: http.StatusText(p.Status), Status: p.Status,
+		Code: string(p.Code), Detail: p.Detail, Outcome: string(p.Outcome),
+	}
+}
+
+// retryAfterSeconds rounds up, so that nobody comes back too early.
+func retryAfterSeconds(d time.Duration) int {
+	seconds := int(math.Ceil(d.Seconds()))
+	return min(max(seconds, defaultRetryAfterSeconds), maxRetryAfterSeconds)
+}
+
+// write sends the problem as the whole answer.
+func (p *Problem) write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", problemContentType)
+	if p.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(p.RetryAfter)))
+	}
+	if p.Outcome != "" {
+		header.Set(outcomeHeader, string(p.Outcome))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(problemToWire(p))
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,298 @@
+// Package caller serves the callers of one entry instance: answers of language
+// models in the shape that they know, and calls to plain services.
+//
+// Usage: create a Server from the parts that do the work and serve its
+// Handler:
+//
+//	server := caller.NewServer(caller.Config{...})
+//	http.Serve(listener, server.Handler())
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/service"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 1 << 20
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes = 16 << 10
+	// HeaderTimeout and BodyTimeout bound how long a request may take to come
+	// in.
+	HeaderTimeout = 5 * time.Second
+	BodyTimeout   = 10 * time.Second
+
+	expireInterval = 50 * time.Millisecond
+)
+
+// Observer gets what the metrics count.
+type Observer interface {
+	Rejected(tenant environment.TenantName, class environment.ClassName, code Code)
+	FirstToken(tenant environment.TenantName, class environment.ClassName, wait time.Duration)
+	BetweenTokens(tenant environment.TenantName, class environment.ClassName, gap time.Duration)
+	Answer(tenant environment.TenantName, class environment.ClassName, took time.Duration)
+	ServiceCall(tenant environment.TenantName, class environment.ClassName, took time.Duration)
+	Outcome(answer claim.Answer)
+}
+
+// Forwarder hands a call with a bound key to the instance that issued it.
+type Forwarder interface {
+	// Forward returns false when that instance cannot be reached.
+	Forward(ctx context.Context, to claim.Incarnation, call ForwardedCall) (ForwardedAnswer, bool)
+}
+
+// ForwardedCall is a call to a plain service on its way to another instance.
+type ForwardedCall struct {
+	Method      string
+	Path        string
+	Query       string
+	Stage       string
+	ContentType string
+	APIKey      string
+	Key         string
+	Body        []byte
+}
+
+// ForwardedAnswer is the answer to a forwarded call.
+type ForwardedAnswer struct {
+	Status      int
+	ContentType string
+	Outcome     string
+	Attempt     string
+	RetryAfter  string
+	Body        []byte
+}
+
+// Config is what a server works with.
+type Config struct {
+	Instance    instancelist.ID
+	Zone        instancelist.AvailabilityZone
+	Incarnation claim.Incarnation
+	Catalog     *Catalog
+	Pool        *engine.Pool
+	Services    *service.Client
+	// Claims runs calls whose keys stand on the log, Local those whose keys
+	// are bound to this instance.
+	Claims    *claim.Tracker
+	Local     *claim.Tracker
+	Forwarder Forwarder
+	Observer  Observer
+	Logger    *zap.Logger
+	// ConcurrentAnswers bounds the answers that run at once.
+	ConcurrentAnswers int
+	// ConcurrentRequests bounds the requests that are open at once.
+	ConcurrentRequests int
+}
+
+// Server serves callers.
+type Server struct {
+	config Config
+	open   chan struct{}
+
+	mu        sync.Mutex
+	admission *Admission
+	leaving   bool
+	busy      sync.WaitGroup
+}
+
+// NewServer returns a server.
+func NewServer(config Config) *Server {
+	return &Server{
+		config:    config,
+		open:      make(chan struct{}, config.ConcurrentRequests),
+		admission: NewAdmission(config.ConcurrentAnswers),
+	}
+}
+
+// Handler serves the callers' protocols.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/chat/completions", s.serve(s.chatCompletions)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.serve(s.completions)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", s.serve(s.models)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/keys", s.serve(s.issueKey)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/outcomes/{key}", s.serve(s.outcome)).Methods(http.MethodGet)
+	r.PathPrefix("/services/{service}").HandlerFunc(s.serve(s.serviceCall))
+	r.NotFoundHandler = http.HandlerFunc(notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
+	r.UseEncodedPath()
+	return r
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	(&Problem{Status: http.StatusNotFound, Code: CodeNotFound, Detail: "no such path"}).write(w)
+}
+
+func methodNotAllowed(w http.ResponseWriter, _ *http.Request) {
+	(&Problem{Status: http.StatusMethodNotAllowed, Code: CodeUnknownMethod, Detail: "the path has no such method"}).write(w)
+}
+
+// Leave refuses new requests; those that run go on.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Wait returns when every request has ended, or ctx has.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.busy.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// SetShare sets the part of each tenant's rate that this instance may use.
+func (s *Server) SetShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admission.SetShare(share)
+}
+
+// Run turns away queued requests whose deadline has passed, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			s.admission.Expire(now)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// call is one request of a caller.
+type call struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	grant   Grant
+	apiKey  string
+	began   time.Time
+	logger  *zap.Logger
+	written bool
+}
+
+type handler func(*call) *Problem
+
+// serve bounds, authenticates and logs a request around its handler.
+func (s *Server) serve(handle handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &call{w: w, r: r, id: uuid.NewString(), began: time.Now()}
+		w.Header().Set(requestIDHeader, c.id)
+		c.logger = s.config.Logger.With(zap.String("request-id", c.id), zap.String("zone", string(s.config.Zone)))
+		if problem := s.enter(); problem != nil {
+			problem.write(w)
+			return
+		}
+		defer s.exit()
+		problem := s.authenticate(c)
+		if problem == nil {
+			problem = handle(c)
+		}
+		s.finish(c, problem)
+	}
+}
+
+func (s *Server) enter() *Problem {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeDraining, Detail: "this instance is leaving",
+			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
+		}
+	}
+	select {
+	case s.open <- struct{}{}:
+		s.busy.Add(1)
+		return nil
+	default:
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Detail: "too many requests are open",
+			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
+		}
+	}
+}
+
+func (s *Server) exit() {
+	<-s.open
+	s.busy.Done()
+}
+
+func (s *Server) authenticate(c *call) *Problem {
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return &Problem{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "send Authorization: Bearer KEY"}
+	}
+	stage := environment.Production
+	switch c.r.Header.Get(stageHeader) {
+	case "", string(environment.Production):
+	case string(environment.Trial):
+		stage = environment.Trial
+	default:
+		return &Problem{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: stageHeader + " is neither trial nor production"}
+	}
+	grant, ok := s.config.Catalog.Lookup(stage, key)
+	if !ok {
+		return &Problem{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "the key belongs to no tenant of the " + string(stage) + " stage"}
+	}
+	c.grant, c.apiKey = grant, key
+	c.logger = c.logger.With(zap.String("tenant", string(grant.Tenant.Name)))
+	return nil
+}
+
+func (s *Server) finish(c *call, problem *Problem) {
+	if problem == nil {
+		c.logger.Debug("request served", zap.Duration("took", time.Since(c.began)))
+		return
+	}
+	s.config.Observer.Rejected(c.grant.Tenant.Name, c.grant.Tenant.Class, problem.Code)
+	c.logger.Info("request ended with a problem",
+		zap.String("code", string(problem.Code)), zap.Int("status", problem.Status), zap.Duration("took", time.Since(c.began)))
+	if !c.written {
+		problem.write(c.w)
+	}
+}
+
+// readBody returns the whole body, within its bounds.
+func (c *call) readBody() ([]byte, *Problem) {
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, MaxBodyBytes))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if asMaxBytes(err, &tooLarge) {
+			return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Detail: "the body is over 1 MiB"}
+		}
+		return nil, &Problem{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: "the body did not come in whole and in time"}
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
--- /dev/null
+++ b/internal/caller/services.go
@@ -0,0 +1,299 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/service"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+// boundSeparator stands between a bound key's UUID and the incarnation of the
+// instance that issued it.
+const boundSeparator = "."
+
+// serviceKey is a parsed idempotency key.
+type serviceKey struct {
+	key  claim.Key
+	text string
+	// bound is set for a key that only the incarnation issuer may dispatch.
+	bound  bool
+	issuer claim.Incarnation
+}
+
+func (s *Server) serviceCall(c *call) *Problem {
+	request, operation, honours, problem := s.serviceRequest(c)
+	if problem != nil {
+		return problem
+	}
+	if operation.Idempotent {
+		return s.idempotentCall(c, request)
+	}
+	key, problem := c.idempotencyKey()
+	if problem != nil {
+		return problem
+	}
+	request.Key = key.text
+	return s.onceCall(c, request, key, honours)
+}
+
+func (s *Server) serviceRequest(c *call) (service.Request, environment.Operation, bool, *Problem) {
+	name := environment.ServiceName(mux.Vars(c.r)["service"])
+	fail := func(p *Problem) (service.Request, environment.Operation, bool, *Problem) {
+		return service.Request{}, environment.Operation{}, false, p
+	}
+	described, ok := c.grant.Document.Service(name)
+	if !ok {
+		return fail(&Problem{Status: http.StatusNotFound, Code: CodeUnknownService, Detail: "no such service"})
+	}
+	if !c.grant.Tenant.MayUseService(name) {
+		return fail(&Problem{Status: http.StatusForbidden, Code: CodeForbidden, Detail: "the tenant may not use this service"})
+	}
+	path := strings.TrimPrefix(c.r.URL.EscapedPath(), "/services/"+string(name))
+	if path == "" {
+		path = "/"
+	}
+	operation, ok := described.Operation(c.r.Method, path)
+	if !ok {
+		return fail(&Problem{Status: http.StatusNotFound, Code: CodeUnknownMethod, Detail: "the service has no such operation"})
+	}
+	body, problem := c.readBody()
+	if problem != nil {
+		return fail(problem)
+	}
+	return service.Request{
+		Service: name, Method: c.r.Method, Path: path, Query: c.r.URL.RawQuery,
+		ContentType: c.r.Header.Get("Content-Type"), Body: body, Timeout: described.Timeout,
+	}, operation, described.HonoursKeys, nil
+}
+
+func (s *Server) idempotentCall(c *call, request service.Request) *Problem {
+	response, err := s.config.Services.Call(c.r.Context(), request)
+	s.config.Observer.ServiceCall(c.grant.Tenant.Name, c.grant.Tenant.Class, time.Since(c.began))
+	if err == nil {
+		c.writeResponse(response.Status, response.ContentType, response.Body)
+		return nil
+	}
+	var none *service.NoBackendError
+	if errors.As(err, &none) {
+		return &Problem{Status: http.StatusServiceUnavailable, Code: Code(claim.CodeNoBackend), Detail: "no backend server is available", RetryAfter: time.Second}
+	}
+	return &Problem{Status: http.StatusBadGateway, Code: CodeServiceFailed, Detail: "the service did not answer", RetryAfter: time.Second}
+}
+
+func (c *call) writeResponse(status int, contentType string, body []byte) {
+	c.written = true
+	if contentType != "" {
+		c.w.Header().Set("Content-Type", contentType)
+	}
+	c.w.WriteHeader(status)
+	_, _ = c.w.Write(body)
+}
+
+// idempotencyKey parses the key of a non-idempotent call.
+func (c *call) idempotencyKey() (serviceKey, *Problem) {
+	text := c.r.Header.Get(idempotencyHeader)
+	if text == "" {
+		return serviceKey{}, &Problem{
+			Status: http.StatusBadRequest, Code: CodeKeyMissing, Outcome: claim.AnswerNotRun,
+			Detail: "send " + idempotencyHeader + " with a UUIDv7, made once for this request and kept for its repeats",
+		}
+	}
+	return parseKey(c.grant.Tenant.Name, text)
+}
+
+func parseKey(tenant environment.TenantName, text string) (serviceKey, *Problem) {
+	plain, issuer, bound := strings.Cut(text, boundSeparator)
+	key := serviceKey{text: text, bound: bound}
+	id, err := uuid.Parse(plain)
+	if err == nil && bound {
+		key.issuer, err = uuid.Parse(issuer)
+	}
+	if err != nil || id.Version() != 7 {
+		return serviceKey{}, &Problem{
+			Status: http.StatusBadRequest, Code: CodeKeyMalformed, Outcome: claim.AnswerNotRun,
+			Detail: "the key is not a UUIDv7 or one issued by /v1/keys",
+		}
+	}
+	key.key = claim.Key{Tenant: tenant, UUID: id}
+	return key, nil
+}
+
+// digest tells two requests under one key apart.
+func digest(request service.Request) claim.RequestDigest {
+	h := sha256.New()
+	for _, part := range []string{string(request.Service), request.Method, request.Path, request.Query, string(request.Body)} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	var d claim.RequestDigest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+func (s *Server) onceCall(c *call, request service.Request, key serviceKey, honours bool) *Problem {
+	tracker := s.config.Claims
+	if key.bound {
+		if key.issuer != s.config.Incarnation {
+			return s.forward(c, request, key)
+		}
+		tracker = s.config.Local
+	}
+	if problem := s.checkAge(tracker, key, time.Now()); problem != nil {
+		return problem
+	}
+	dispatcher := s.config.Services.NewDispatcher(request)
+	reply := tracker.Run(c.r.Context(), claim.Request{
+		Claim: claim.Claim{
+			Key: key.key, ID: uuid.New(), Digest: digest(request), Incarnation: s.config.Incarnation,
+		},
+		HonoursKeys: honours, Timeout: request.Timeout, Dispatcher: dispatcher,
+	})
+	s.config.Observer.ServiceCall(c.grant.Tenant.Name, c.grant.Tenant.Class, time.Since(c.began))
+	s.config.Observer.Outcome(reply.Answer)
+	return c.reply(reply, dispatcher.Whole())
+}
+
+// checkAge refuses a key that the log may have forgotten, unless the ledger
+// knows it.
+func (s *Server) checkAge(tracker *claim.Tracker, key serviceKey, now time.Time) *Problem {
+	state, covered := tracker.State(key.key)
+	if state.Phase != claim.Free {
+		return nil
+	}
+	made, _ := key.key.Time()
+	switch {
+	case made.After(now.Add(claim.ClockSkew)):
+		return &Problem{
+			Status: http.StatusBadRequest, Code: CodeKeyFromFuture, Outcome: claim.AnswerUnknown,
+			Detail: "the key's time lies ahead; check the caller's clock",
+		}
+	case now.Sub(made) > claim.Window || !covered:
+		return &Problem{
+			Status: http.StatusGone, Code: CodeKeyTooOld, Outcome: claim.AnswerUnknown,
+			Detail: "the key is older than what is still known; look the effect up at the service",
+		}
+	}
+	return nil
+}
+
+// reply sends the final answer of a call that runs at most once. whole is the
+// response when this instance got it itself.
+func (c *call) reply(reply claim.Reply, whole *service.Response) *Problem {
+	if reply.AttemptNotRun {
+		c.w.Header().Set(attemptHeader, attemptNotRunValue)
+	}
+	if reply.Answer != claim.AnswerDone {
+		return replyProblem(reply)
+	}
+	c.w.Header().Set(outcomeHeader, string(reply.Answer))
+	switch {
+	case whole != nil:
+		c.writeResponse(whole.Status, whole.ContentType, whole.Body)
+	case reply.Response.Truncated:
+		c.writeResponse(http.StatusOK, "application/json", []byte(`{"truncated":true}`))
+	default:
+		c.writeResponse(reply.Response.Status, reply.Response.ContentType, reply.Response.Body)
+	}
+	return nil
+}
+
+func replyProblem(reply claim.Reply) *Problem {
+	problem := &Problem{
+		Status: http.StatusServiceUnavailable, Code: Code(reply.Code),
+		Outcome: reply.Answer, RetryAfter: reply.RetryAfter,
+	}
+	switch reply.Code {
+	case claim.CodeKeyReused:
+		problem.Status = http.StatusUnprocessableEntity
+		problem.Detail = "the key belongs to another request"
+	case claim.CodeLogUnavailable:
+		problem.Detail = "the claim could not be made; this attempt was not run and never will be"
+	case claim.CodeNoBackend:
+		problem.Detail = "no backend server could be reached"
+	case claim.CodeOutcomeUnknown:
+		problem.Status = http.StatusBadGateway
+		problem.Detail = "the call was sent and its answer was lost; look the effect up at the service"
+	case claim.CodeInProgress:
+		problem.Status = http.StatusConflict
+		problem.Detail = "another attempt under this key is under way"
+	case claim.CodeNone:
+	}
+	return problem
+}
+
+// forward hands a call on to the instance that issued its key.
+func (s *Server) forward(c *call, request service.Request, key serviceKey) *Problem {
+	answer, ok := s.config.Forwarder.Forward(c.r.Context(), key.issuer, ForwardedCall{
+		Method: request.Method, Path: c.r.URL.EscapedPath(), Query: request.Query, Stage: c.r.Header.Get(stageHeader),
+		ContentType: request.ContentType, APIKey: c.apiKey, Key: key.text, Body: request.Body,
+	})
+	if !ok {
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Code: CodeKeyElsewhere, Outcome: claim.AnswerUnknown,
+			Detail: "the instance that issued the key cannot be reached", RetryAfter: time.Second,
+		}
+	}
+	header := c.w.Header()
+	setIf(header, outcomeHeader, answer.Outcome)
+	setIf(header, attemptHeader, answer.Attempt)
+	setIf(header, "Retry-After", answer.RetryAfter)
+	c.writeResponse(answer.Status, answer.ContentType, answer.Body)
+	return nil
+}
+
+func setIf(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// issueKey makes a key that only this instance will dispatch, so that it also
+// works while the log is down.
+func (s *Server) issueKey(c *call) *Problem {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return &Problem{Status: http.StatusInternalServerError, Code: CodeInternal, Detail: "no key could be made"}
+	}
+	return c.writeJSON(http.StatusCreated, struct {
+		Key string `json:"key"`
+	}{id.String() + boundSeparator + s.config.Incarnation.String()})
+}
+
+func (s *Server) outcome(c *call) *Problem {
+	key, problem := parseKey(c.grant.Tenant.Name, mux.Vars(c.r)["key"])
+	if problem != nil {
+		problem.Outcome = ""
+		return problem
+	}
+	tracker := s.config.Claims
+	if key.bound {
+		tracker = s.config.Local
+		if key.issuer != s.config.Incarnation {
+			return s.forward(c, service.Request{Method: http.MethodGet}, key)
+		}
+	}
+	state, certain := tracker.Look(c.r.Context(), key.key, c.began)
+	answer := claim.AnswerUnknown
+	switch {
+	case state.Phase == claim.Ran:
+		answer = claim.AnswerDone
+	case state.Phase == claim.Free && certain:
+		answer = claim.AnswerNotRun
+	}
+	c.w.Header().Set(outcomeHeader, string(answer))
+	return c.writeJSON(http.StatusOK, struct {
+		Key     string `json:"key"`
+		Outcome string `json:"outcome"`
+		Phase   string `json:"phase"`
+		Status  int    `json:"status,omitempty"`
+		Body    string `json:"body,omitempty"`
+	}{key.text, string(answer), state.Phase.String(), state.Response.Status, string(state.Response.Body)})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,223 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/caller"
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/logservice/lease"
+	"mulberryhead.org/mulberryhead/internal/operator"
+	"mulberryhead.org/mulberryhead/internal/peer"
+	"mulberryhead.org/mulberryhead/internal/service"
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings    Settings
+	incarnation uuid.UUID
+	logger      *zap.Logger
+	metrics     *metrics
+
+	log       *logservice.Client
+	instances *instancelist.Client
+	keeper    *document.Keeper
+	batcher   *claim.Batcher
+	claims    *claim.Tracker
+	local     *claim.Tracker
+	orders    *lease.Keeper
+	catalog   *caller.Catalog
+	pool      *engine.Pool
+	status    *engine.StatusClient
+	services  *service.Client
+	mesh      *peer.Mesh
+	callers   *caller.Server
+	operators *operator.Server
+
+	leaving   atomic.Bool
+	listening func(role, address string)
+
+	mu      sync.Mutex
+	view    *instancelist.View
+	applied map[document.Key]document.Version
+	reports map[string]sharedReport
+}
+
+// New returns a daemon that has not started. listening is called with each
+// address that it then serves on.
+func New(settings Settings, logger *zap.Logger, listening func(role, address string)) *Daemon {
+	d := &Daemon{
+		settings: settings, listening: listening, incarnation: uuid.New(), metrics: newMetrics(),
+		logger: logger.With(zap.String("instance", string(settings.Instance))),
+		view:   instancelist.NewView(), applied: map[document.Key]document.Version{},
+		reports: map[string]sharedReport{},
+	}
+	d.metrics.reportViolations(d.logger)
+	d.log = logservice.NewClient(settings.LogAddress, string(settings.Instance))
+	d.instances = instancelist.NewClient(settings.InstanceListAddress, string(settings.Instance))
+	d.catalog = caller.NewCatalog()
+	d.pool = engine.NewPool(settings.Zone)
+	d.status = engine.NewStatusClient()
+	d.services = service.NewClient(settings.Zone)
+	d.keeper = document.NewKeeper(document.Config{
+		Appender: d.log, CheckpointEvery: settings.CheckpointEvery,
+		Accepted: d.apply, Advanced: d.announce, Logger: d.logger,
+	})
+	d.batcher = claim.NewBatcher(d.log, settings.AppendsPerSecond)
+	d.claims = claim.NewTracker(d.batcher, d.refreshClaims)
+	d.local = claim.NewLocalTracker()
+	d.orders = lease.NewKeeper(d.log, lease.Duty("orders/"+string(settings.Zone)), d.incarnation)
+	d.mesh = peer.NewMesh(peer.Config{
+		Self:     peer.Hello{Instance: settings.Instance, Incarnation: d.incarnation, Zone: settings.Zone, Region: settings.Region},
+		Receiver: d, Logger: d.logger,
+	})
+	d.callers = caller.NewServer(caller.Config{
+		Instance: settings.Instance, Zone: settings.Zone, Incarnation: d.incarnation,
+		Catalog: d.catalog, Pool: d.pool, Services: d.services, Claims: d.claims, Local: d.local,
+		Forwarder: d, Observer: d.metrics, Logger: d.logger,
+		ConcurrentAnswers: settings.ConcurrentAnswers, ConcurrentRequests: settings.ConcurrentRequests,
+	})
+	d.operators = operator.NewServer(operator.Config{
+		Keeper: d.keeper, TokenHash: settings.OperatorTokenHash, Status: d.state,
+		Metrics: promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}), Logger: d.logger,
+	})
+	d.registerGauges()
+	return d
+}
+
+// ListenError says that an address can't be listened on.
+type ListenError struct {
+	Role    string
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("listen for %s on %s: %v", e.Role, e.Address, e.Cause)
+}
+
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+type listener struct {
+	role    string
+	address string
+	handler http.Handler
+	server  *http.Server
+}
+
+// Run serves until ctx ends, then lets all that is running end, and returns
+// nil when nothing was cut off.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners := []*listener{
+		{role: "callers", address: d.settings.CallersAddress, handler: d.callers.Handler()},
+		{role: "operators", address: d.settings.OperatorsAddress, handler: d.operators.Handler()},
+		{role: "peers", address: d.settings.PeersAddress, handler: d.mesh.Handler()},
+	}
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		if err := l.start(failed); err != nil {
+			return err
+		}
+		d.listening(l.role, l.address)
+	}
+	// The loops outlive ctx: work that is ending still needs them.
+	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.startLoops(loops)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return d.drain(loops, listeners)
+}
+
+func (l *listener) start(failed chan<- error) error {
+	socket, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return &ListenError{Role: l.role, Address: l.address, Cause: err}
+	}
+	l.address = socket.Addr().String()
+	l.server = &http.Server{
+		Handler: l.handler, ReadHeaderTimeout: caller.HeaderTimeout, MaxHeaderBytes: caller.MaxHeaderBytes,
+		IdleTimeout: time.Minute,
+	}
+	go func() {
+		if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve %s: %w", l.role, err)
+		}
+	}()
+	return nil
+}
+
+func (d *Daemon) startLoops(ctx context.Context) {
+	go logservice.Tail(ctx, d.log, document.Stream, d.keeper)
+	go logservice.Tail(ctx, d.log, claim.Stream, d.claims)
+	go logservice.Tail(ctx, d.log, lease.Stream, d.orders)
+	go d.keeper.Run(ctx)
+	go d.batcher.Run(ctx)
+	go d.orders.Run(ctx)
+	go d.mesh.Run(ctx)
+	go d.callers.Run(ctx)
+	go d.watchInstances(ctx)
+	go d.watchRunners(ctx)
+	go d.giveOrders(ctx)
+}
+
+// leaveNotice is how long a leaving instance goes on answering new requests,
+// while the balancer notices that it is not ready.
+const leaveNotice = 500 * time.Millisecond
+
+// outcomePatience bounds the wait for the last outcomes to reach the log.
+const outcomePatience = 5 * time.Second
+
+// drain ends all that is running and nothing else.
+func (d *Daemon) drain(ctx context.Context, listeners []*listener) error {
+	d.logger.Info("leaving")
+	d.leaving.Store(true)
+	d.mesh.Leave()
+	time.Sleep(leaveNotice)
+	d.callers.Leave()
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain)
+	defer cancel()
+	err := d.callers.Wait(ctx)
+	d.flushOutcomes(ctx)
+	for _, l := range listeners {
+		if closeErr := l.server.Shutdown(ctx); err == nil && l.role == "callers" {
+			err = closeErr
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("drain: %w", err)
+	}
+	d.logger.Info("left")
+	return nil
+}
+
+// flushOutcomes waits until the outcomes of calls are on the log.
+func (d *Daemon) flushOutcomes(ctx context.Context) {
+	deadline := time.Now().Add(outcomePatience)
+	for d.batcher.Pending() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// ready reports whether the instance may get new requests: it is not leaving,
+// and knows the documents in force from the log or from a peer.
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.keeper.Loaded()
+}
--- /dev/null
+++ b/internal/daemon/documents.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/operator"
+	"mulberryhead.org/mulberryhead/internal/peer"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+// apply puts an accepted document into force here. A document that this build
+// can't read leaves the last one that it could in force.
+func (d *Daemon) apply(e document.Entry) {
+	doc, err := environment.Parse(string(e.Environment), e.Body)
+	if err != nil {
+		d.logger.Error("accepted document can't be applied", zap.String("environment", string(e.Environment)),
+			zap.Int64("version", int64(e.Version)), zap.Error(err))
+		return
+	}
+	d.catalog.Set(e.Stage, doc)
+	d.mu.Lock()
+	d.applied[document.Key{Environment: e.Environment, Stage: e.Stage}] = e.Version
+	d.mu.Unlock()
+	d.logger.Info("document in force", zap.String("environment", string(e.Environment)),
+		zap.String("stage", string(e.Stage)), zap.Int64("version", int64(e.Version)))
+}
+
+// announce tells the peers how far the documents were read here.
+func (d *Daemon) announce(asOf logservice.Offset) {
+	if d.mesh != nil {
+		d.mesh.Broadcast(peer.Documents{AsOf: asOf})
+	}
+}
+
+// refreshClaims reads the claims' stream to its end once.
+func (d *Daemon) refreshClaims(ctx context.Context, t *claim.Tracker) error {
+	for {
+		asked := time.Now()
+		page, err := d.log.Read(ctx, claim.Stream, t.Next(), 0)
+		if err != nil {
+			return err
+		}
+		t.Records(asked, time.Now(), page)
+		if len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// state describes this instance to operators.
+func (d *Daemon) state() operator.Status {
+	asOf, _ := d.keeper.AsOf()
+	fence, held := d.orders.Held(time.Now())
+	if !held {
+		fence = -1
+	}
+	status := operator.Status{
+		Instance: string(d.settings.Instance), Zone: string(d.settings.Zone), Incarnation: d.incarnation.String(),
+		Ready: d.ready(), LogAgeMillis: -1, AsOf: int64(asOf), Keys: d.claims.Len(), Fence: int64(fence),
+	}
+	if at := d.keeper.ReadAt(); !at.IsZero() {
+		status.LogAgeMillis = time.Since(at).Milliseconds()
+	}
+	status.Documents = d.documentStates()
+	for _, p := range d.mesh.Linked() {
+		status.Peers = append(status.Peers, operator.PeerState{Instance: string(p.Instance), Zone: string(p.Zone)})
+	}
+	status.Runners = d.runnerStates()
+	return status
+}
+
+func (d *Daemon) documentStates() []operator.DocumentState {
+	entries := d.keeper.Entries()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []operator.DocumentState
+	for _, e := range entries {
+		applied := d.applied[document.Key{Environment: e.Environment, Stage: e.Stage}] == e.Version
+		list = append(list, operator.DocumentState{
+			Environment: e.Environment, Stage: e.Stage, Version: e.Version, Digest: e.Digest, Applied: applied,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/caller"
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/peer"
+)
+
+// LinkUp implements peer.Receiver.
+func (d *Daemon) LinkUp(from peer.Hello) {
+	asOf, _ := d.keeper.AsOf()
+	d.mesh.Send(from.Instance, peer.Documents{AsOf: asOf})
+}
+
+// Received implements peer.Receiver.
+func (d *Daemon) Received(from peer.Hello, message peer.Message) {
+	switch m := message.(type) {
+	case peer.Documents:
+		asOf, whole := d.keeper.AsOf()
+		if m.AsOf > asOf || !whole || !d.keeper.Loaded() {
+			d.mesh.Send(from.Instance, peer.DocumentsWanted{AsOf: asOf})
+		}
+	case peer.DocumentsWanted:
+		if snapshot, ok := d.keeper.Snapshot(); ok {
+			d.mesh.Send(from.Instance, peer.DocumentsState{Snapshot: snapshot})
+		}
+	case peer.DocumentsState:
+		if err := d.keeper.Adopt(m.Snapshot); err != nil {
+			d.logger.Error("peer's documents refused", zap.String("peer", string(from.Instance)), zap.Error(err))
+		}
+	case peer.Loads:
+		d.takeLoads(m)
+	}
+}
+
+func (d *Daemon) takeLoads(m peer.Loads) {
+	now := time.Now()
+	d.pool.Update(func(f *engine.Fleet) {
+		for _, l := range m.Loads {
+			f.Reported(now.Add(-time.Duration(l.AgeMillis)*time.Millisecond), l.Runner, l.Report)
+		}
+	})
+}
+
+// Forward implements caller.Forwarder.
+func (d *Daemon) Forward(ctx context.Context, to claim.Incarnation, call caller.ForwardedCall) (caller.ForwardedAnswer, bool) {
+	answer, ok := d.mesh.Forward(ctx, to, peer.ForwardCall{
+		Method: call.Method, Path: call.Path, Query: call.Query, Stage: call.Stage,
+		ContentType: call.ContentType, APIKey: call.APIKey, Key: call.Key, Body: call.Body,
+	})
+	return caller.ForwardedAnswer{
+		Status: answer.Status, ContentType: answer.ContentType, Outcome: answer.Outcome,
+		Attempt: answer.Attempt, RetryAfter: answer.RetryAfter, Body: answer.Body,
+	}, ok
+}
+
+// Call implements peer.Receiver: it serves a forwarded call like one that came
+// in here.
+func (d *Daemon) Call(call peer.ForwardCall) peer.ForwardAnswer {
+	target := call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	request, err := http.NewRequest(call.Method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return peer.ForwardAnswer{Status: http.StatusBadRequest, Outcome: string(claim.AnswerNotRun)}
+	}
+	request.Header.Set("Authorization", "Bearer "+call.APIKey)
+	request.Header.Set("Idempotency-Key", call.Key)
+	if call.Stage != "" {
+		request.Header.Set("Mulberryhead-Stage", call.Stage)
+	}
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	recorder := httptest.NewRecorder()
+	d.callers.Handler().ServeHTTP(recorder, request)
+	return peer.ForwardAnswer{
+		Status: recorder.Code, ContentType: recorder.Header().Get("Content-Type"),
+		Outcome: recorder.Header().Get("Mulberryhead-Outcome"), Attempt: recorder.Header().Get("Mulberryhead-Attempt"),
+		RetryAfter: recorder.Header().Get("Retry-After"), Body: recorder.Body.Bytes(),
+	}
+}
+
+// registerGauges registers the metrics that are read from the parts.
+func (d *Daemon) registerGauges() {
+	d.metrics.gauge("documents_as_of", "Log offset up to which the documents are in force.", func() float64 {
+		asOf, _ := d.keeper.AsOf()
+		return float64(asOf)
+	})
+	d.metrics.gauge("documents_age_seconds", "Time since the documents' stream was last read.", func() float64 {
+		at := d.keeper.ReadAt()
+		if at.IsZero() {
+			return -1
+		}
+		return time.Since(at).Seconds()
+	})
+	d.metrics.gauge("ready", "1 while the instance is ready.", func() float64 {
+		if d.ready() {
+			return 1
+		}
+		return 0
+	})
+	d.metrics.gauge("peer_links", "Open links to other entry instances.", func() float64 { return float64(d.mesh.Stats().Links) })
+	d.metrics.counter("peer_sent_bytes_total", "Bytes sent to other entry instances.", func() float64 { return float64(d.mesh.Stats().SentBytes) })
+	d.metrics.counter("peer_received_bytes_total", "Bytes received from other entry instances.", func() float64 { return float64(d.mesh.Stats().ReceivedBytes) })
+	d.metrics.gauge("claim_keys", "Idempotency keys held.", func() float64 { return float64(d.claims.Len()) })
+	d.metrics.counter("claim_appends_total", "Appends to the claims' stream.", func() float64 { return float64(d.batcher.Stats().Appends) })
+	d.metrics.counter("claim_entries_total", "Entries in those appends.", func() float64 { return float64(d.batcher.Stats().Entries) })
+	d.metrics.gauge("claim_outcomes_pending", "Outcomes not on the log yet.", func() float64 { return float64(d.batcher.Pending()) })
+	d.metrics.counter("runner_steps_total", "Steps sent to runners.", func() float64 { return float64(d.pool.Counts().Steps) })
+	d.metrics.counter("runner_paths_total", "Paths chosen, the first of each answer included.", func() float64 { return float64(d.pool.Counts().Paths) })
+	d.metrics.counter("runner_streams_lost_total", "Streams to runners that ended.", func() float64 { return float64(d.pool.Counts().StreamsLost) })
+	d.metrics.counter("runner_replies_dropped_total", "Late, repeated or crossed replies dropped.", func() float64 { return float64(d.pool.Counts().Dropped) })
+	d.metrics.counter("service_calls_total", "Calls sent to plain services, retries included.", func() float64 { return float64(d.services.Counts().Calls) })
+	d.metrics.counter("service_retries_total", "Retries of idempotent calls.", func() float64 { return float64(d.services.Counts().Retries) })
+	d.metrics.counter("service_retries_denied_total", "Retries that the budget did not allow.", func() float64 { return float64(d.services.Counts().Denied) })
+}
--- /dev/null
+++ b/internal/daemon/runners.go
@@ -0,0 +1,184 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/operator"
+	"mulberryhead.org/mulberryhead/internal/peer"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	instancesInterval = 1 * time.Second
+	// statusInterval is how often the instance that polls a runner does so.
+	statusInterval = 250 * time.Millisecond
+	// reportPatience is the age of a shared report at which an instance polls
+	// the runner itself.
+	reportPatience = 1 * time.Second
+	ordersInterval = 500 * time.Millisecond
+	concurrentPoll = 32
+)
+
+// sharedReport is what this instance last told its zone about a runner.
+type sharedReport struct {
+	report engine.Report
+	sent   time.Time
+}
+
+// watchInstances keeps the instance list up to date.
+func (d *Daemon) watchInstances(ctx context.Context) {
+	for ctx.Err() == nil {
+		list, err := d.instances.Read(ctx)
+		if err != nil {
+			d.logger.Debug("instance list unavailable", zap.Error(err))
+		} else {
+			d.setInstances(time.Now(), list)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(instancesInterval):
+		}
+	}
+}
+
+func (d *Daemon) setInstances(now time.Time, list []instancelist.Instance) {
+	d.mu.Lock()
+	d.view.Update(now, list)
+	engines := d.view.Of(instancelist.Engine)
+	services := d.view.Of(instancelist.Service)
+	entries := d.view.Of(instancelist.Entry)
+	d.mu.Unlock()
+	d.pool.Update(func(f *engine.Fleet) { f.SetInstances(engines) })
+	d.services.SetInstances(services)
+	d.mesh.SetInstances(now, entries)
+	// Every instance takes an equal part of what the log service allows.
+	d.batcher.SetLimit(d.settings.AppendsPerSecond / float64(max(1, len(entries))))
+}
+
+// watchRunners polls the runners that fall to this instance.
+func (d *Daemon) watchRunners(ctx context.Context) {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	slots := make(chan struct{}, concurrentPoll)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, r := range d.toPoll(now) {
+				slots <- struct{}{}
+				go func() {
+					defer func() { <-slots }()
+					d.poll(ctx, r)
+				}()
+			}
+		}
+	}
+}
+
+type pollTarget struct {
+	id      runner.ID
+	address string
+}
+
+// toPoll returns the runners that rendezvous hashing gives to this instance,
+// and those that nobody reported on for too long.
+func (d *Daemon) toPoll(now time.Time) []pollTarget {
+	zone := d.mesh.Zone()
+	var targets []pollTarget
+	d.pool.Update(func(f *engine.Fleet) {
+		for _, r := range f.Runners() {
+			own := r.Zone == d.settings.Zone && peer.Preferred(string(r.ID), zone) == d.settings.Instance
+			if own || now.Sub(r.ReportedAt()) > reportPatience {
+				targets = append(targets, pollTarget{id: r.ID, address: r.Address})
+			}
+		}
+	})
+	return targets
+}
+
+func (d *Daemon) poll(ctx context.Context, target pollTarget) {
+	at := time.Now()
+	report, err := d.status.Fetch(ctx, target.id, target.address)
+	if err != nil {
+		return
+	}
+	d.pool.Update(func(f *engine.Fleet) { f.Reported(at, target.id, report) })
+	d.share(at, target.id, report)
+}
+
+// share tells the zone about a report that differs from the last one told, or
+// that was told long enough ago.
+func (d *Daemon) share(now time.Time, id runner.ID, report engine.Report) {
+	comparable := report
+	comparable.RoundTrip = 0
+	d.mu.Lock()
+	last, ok := d.reports[string(id)]
+	if ok && last.report == comparable && now.Sub(last.sent) < reportPatience/2 {
+		d.mu.Unlock()
+		return
+	}
+	d.reports[string(id)] = sharedReport{report: comparable, sent: now}
+	d.mu.Unlock()
+	d.mesh.BroadcastZone(peer.Loads{Loads: []peer.RunnerLoad{{
+		Runner: id, Report: report, AgeMillis: time.Since(now).Milliseconds(),
+	}}})
+}
+
+// giveOrders orders runners to load versions while this instance holds the
+// zone's lease.
+func (d *Daemon) giveOrders(ctx context.Context) {
+	orders := engine.NewOrders(d.settings.Zone)
+	ticker := time.NewTicker(ordersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.orders.Prefer(peer.Preferred("orders", d.mesh.Zone()) == d.settings.Instance)
+			if fence, held := d.orders.Held(now); held {
+				d.order(ctx, orders, now, int64(fence))
+			}
+		}
+	}
+}
+
+func (d *Daemon) order(ctx context.Context, orders *engine.Orders, now time.Time, fence int64) {
+	var models []environment.Model
+	for _, doc := range d.catalog.Documents(environment.Production) {
+		models = append(models, doc.Models...)
+	}
+	var next []engine.Order
+	d.pool.Update(func(f *engine.Fleet) { next = orders.Next(now, fence, models, f) })
+	for _, o := range next {
+		err := d.status.Give(ctx, o)
+		var refused *engine.OrderError
+		if errors.As(err, &refused) && refused.Fenced {
+			d.logger.Warn("order refused by fencing number", zap.String("runner", string(o.Runner)), zap.Int64("fence", o.Fence))
+			continue
+		}
+		d.logger.Info("order given", zap.String("runner", string(o.Runner)), zap.String("model", string(o.Model)),
+			zap.String("version", string(o.Version)), zap.Int64("fence", o.Fence), zap.Error(err))
+	}
+}
+
+func (d *Daemon) runnerStates() []operator.RunnerState {
+	var list []operator.RunnerState
+	d.pool.Update(func(f *engine.Fleet) {
+		for _, r := range f.Runners() {
+			list = append(list, operator.RunnerState{
+				Runner: string(r.ID), Zone: string(r.Zone), Model: string(r.Report.Model), Version: string(r.Report.Version),
+				Layers: r.Report.Range.String(), Leaving: r.Leaving || r.Report.Leaving, Queued: r.Report.Queued,
+			})
+		}
+	})
+	return list
+}
--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,230 @@
+// Package daemon runs one entry instance: it reads the settings and wires the
+// parts together.
+//
+// Usage: load settings and run until a signal:
+//
+//	settings, err := daemon.LoadSettings("entry.toml")
+//	d, err := daemon.New(settings, logger)
+//	err = d.Run(ctx)
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/tomlpos"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	defaultAnswers         = 256
+	defaultRequests        = 2048
+	defaultDrain           = 60 * time.Second
+	defaultAppends         = 400
+	defaultCheckpointEvery = 30 * time.Minute
+	maxAnswers             = 100_000
+)
+
+// Settings is what one entry instance is told at its start.
+type Settings struct {
+	Instance instancelist.ID
+	Zone     instancelist.AvailabilityZone
+	Region   instancelist.Region
+
+	// CallersAddress, OperatorsAddress and PeersAddress are where it listens,
+	// HOST:PORT.
+	CallersAddress   string
+	OperatorsAddress string
+	PeersAddress     string
+
+	// LogAddress and InstanceListAddress are where the platform listens.
+	LogAddress          string
+	InstanceListAddress string
+	// AppendsPerSecond is what all entry instances together may append.
+	AppendsPerSecond float64
+	CheckpointEvery  time.Duration
+
+	// OperatorTokenHash is the hash of the operators' bearer token.
+	OperatorTokenHash environment.KeyHash
+
+	ConcurrentAnswers  int
+	ConcurrentRequests int
+	// Drain is how long a planned stop waits for what is running.
+	Drain time.Duration
+
+	LogLevel zapcore.Level
+}
+
+type tomlSettings struct {
+	Instance struct {
+		ID     string `toml:"id"`
+		Zone   string `toml:"availability-zone"`
+		Region string `toml:"region"`
+	} `toml:"instance"`
+	Listen struct {
+		Callers   string `toml:"callers"`
+		Operators string `toml:"operators"`
+		Peers     string `toml:"peers"`
+	} `toml:"listen"`
+	Platform struct {
+		LogService       string  `toml:"log-service"`
+		InstanceList     string  `toml:"instance-list"`
+		AppendsPerSecond float64 `toml:"appends-per-second"`
+		CheckpointEvery  string  `toml:"checkpoint-every"`
+	} `toml:"platform"`
+	Operators struct {
+		TokenSHA256 string `toml:"token-sha256"`
+	} `toml:"operators"`
+	Limits struct {
+		ConcurrentAnswers  int    `toml:"concurrent-answers"`
+		ConcurrentRequests int    `toml:"concurrent-requests"`
+		Drain              string `toml:"drain"`
+	} `toml:"limits"`
+	Log struct {
+		Level string `toml:"level"`
+	} `toml:"log"`
+}
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// LoadSettings reads a settings file. The error names every problem.
+func LoadSettings(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings checks settings as a whole. The error is a
+// *tomlpos.ProblemsError; file is only used in it.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	var wire tomlSettings
+	index, problems := tomlpos.Decode(file, data, &wire)
+	c := checker{index: index, problems: problems}
+	settings := c.settings(&wire)
+	c.clashes(&settings)
+	return settings, problems.Err()
+}
+
+type checker struct {
+	index    tomlpos.Index
+	problems *tomlpos.Problems
+}
+
+func (c *checker) fault(key, what, mend string) {
+	c.problems.Add(c.index, key, what, mend)
+}
+
+func (c *checker) settings(w *tomlSettings) Settings {
+	return Settings{
+		Instance:            instancelist.ID(c.required("instance.id", w.Instance.ID)),
+		Zone:                instancelist.AvailabilityZone(c.required("instance.availability-zone", w.Instance.Zone)),
+		Region:              instancelist.Region(c.required("instance.region", w.Instance.Region)),
+		CallersAddress:      c.address("listen.callers", w.Listen.Callers),
+		OperatorsAddress:    c.address("listen.operators", w.Listen.Operators),
+		PeersAddress:        c.address("listen.peers", w.Listen.Peers),
+		LogAddress:          c.address("platform.log-service", w.Platform.LogService),
+		InstanceListAddress: c.address("platform.instance-list", w.Platform.InstanceList),
+		AppendsPerSecond:    c.rate("platform.appends-per-second", w.Platform.AppendsPerSecond),
+		CheckpointEvery:     c.duration("platform.checkpoint-every", w.Platform.CheckpointEvery, defaultCheckpointEvery),
+		OperatorTokenHash:   c.hash("operators.token-sha256", w.Operators.TokenSHA256),
+		ConcurrentAnswers:   c.count("limits.concurrent-answers", w.Limits.ConcurrentAnswers, defaultAnswers),
+		ConcurrentRequests:  c.count("limits.concurrent-requests", w.Limits.ConcurrentRequests, defaultRequests),
+		Drain:               c.duration("limits.drain", w.Limits.Drain, defaultDrain),
+		LogLevel:            c.level("log.level", w.Log.Level),
+	}
+}
+
+func (c *checker) required(key, value string) string {
+	if value == "" {
+		c.fault(key, "is missing", "set it")
+	}
+	return value
+}
+
+func (c *checker) address(key, value string) string {
+	if c.required(key, value) == "" {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.fault(key, fmt.Sprintf("%q is not an address", value), `write IP:PORT, as in "127.0.0.1:8080"`)
+	}
+	return value
+}
+
+func (c *checker) rate(key string, value float64) float64 {
+	if value < 0 {
+		c.fault(key, "is negative", "set the log service's limit")
+	}
+	if value == 0 {
+		return defaultAppends
+	}
+	return value
+}
+
+func (c *checker) duration(key, value string, fallback time.Duration) time.Duration {
+	if value == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 {
+		c.fault(key, fmt.Sprintf("%q is not a positive duration", value), `write a number with its unit, as in "60s"`)
+		return fallback
+	}
+	return d
+}
+
+func (c *checker) hash(key, value string) environment.KeyHash {
+	if !hashPattern.MatchString(value) {
+		c.fault(key, "is not 64 hex digits", "make a token and its hash with: mulberryhead key")
+	}
+	return environment.KeyHash(value)
+}
+
+func (c *checker) count(key string, value, fallback int) int {
+	if value < 0 || value > maxAnswers {
+		c.fault(key, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("use 1 to %d", maxAnswers))
+	}
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func (c *checker) level(key, value string) zapcore.Level {
+	if value == "" {
+		return zapcore.InfoLevel
+	}
+	level, err := zapcore.ParseLevel(value)
+	if err != nil {
+		c.fault(key, fmt.Sprintf("%q is not a level", value), "use debug, info, warn or error")
+	}
+	return level
+}
+
+func (c *checker) clashes(s *Settings) {
+	if s.ConcurrentRequests < s.ConcurrentAnswers {
+		c.fault("limits.concurrent-requests", "is below concurrent-answers", "raise it; every answer is a request too")
+	}
+	taken := map[string]string{}
+	for _, listen := range []struct{ key, address string }{
+		{"listen.callers", s.CallersAddress}, {"listen.operators", s.OperatorsAddress}, {"listen.peers", s.PeersAddress},
+	} {
+		_, port, err := net.SplitHostPort(listen.address)
+		if err != nil || port == "0" {
+			continue
+		}
+		if other, ok := taken[listen.address]; ok {
+			c.fault(listen.key, "is the address of "+other+" too", "give each its own port")
+		}
+		taken[listen.address] = listen.key
+	}
+}
--- /dev/null
+++ b/internal/engine/fleet.go
@@ -0,0 +1,285 @@
+// Package engine turns a prompt into tokens: it chooses a path of runners that
+// covers every layer, drives a session along it, and goes on with another path
+// when a runner is lost.
+//
+// Usage: keep a Fleet up to date with reports, and drive one Session for each
+// answer; Pool does both with real streams:
+//
+//	tokens, err := pool.Generate(ctx, engine.Request{Model: m, Prompt: p, MaxTokens: 64}, emit)
+package engine
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	// loadHalfLife is the age at which a load report counts half.
+	loadHalfLife = 500 * time.Millisecond
+	ejectMin     = 500 * time.Millisecond
+	ejectMax     = 10 * time.Second
+	// remotePenalty keeps a path in the own availability zone wherever that
+	// can serve at all.
+	remotePenalty = time.Hour
+	// ejectedPenalty keeps ejected runners out unless no path exists without.
+	ejectedPenalty = 24 * time.Hour
+	defaultCost    = 2 * time.Millisecond
+)
+
+// Report is what a runner says about itself.
+type Report struct {
+	Incarnation  string
+	Model        environment.ModelName
+	Version      environment.ModelVersion
+	Layers       int
+	Range        runner.LayerRange
+	Leaving      bool
+	Loading      bool
+	Queued       int
+	BatchCost    time.Duration
+	PositionCost time.Duration
+	// RoundTrip is how long the report took to fetch.
+	RoundTrip time.Duration
+	Fence     int64
+}
+
+// Runner is what is known about one runner.
+type Runner struct {
+	ID      runner.ID
+	Address string
+	Zone    instancelist.AvailabilityZone
+	Leaving bool
+	Report  Report
+	// reported is when the report was made; zero before the first.
+	reported time.Time
+	inFlight int
+	failures int
+	ejected  time.Time
+}
+
+// Hop is one runner of a path.
+type Hop struct {
+	Runner  runner.ID
+	Address string
+	Range   runner.LayerRange
+	// Expected is how long the first pass is predicted to take here.
+	Expected time.Duration
+}
+
+// Path is runners whose ranges cover all layers in order.
+type Path []Hop
+
+// NoPathError says that no chain of runners covers the model's layers.
+type NoPathError struct {
+	Model   environment.ModelName
+	Version environment.ModelVersion
+}
+
+func (e *NoPathError) Error() string {
+	return fmt.Sprintf("no runners cover all layers of %s %s", e.Model, e.Version)
+}
+
+// Fleet is the runners that an entry instance may use. It is not safe for
+// concurrent use.
+type Fleet struct {
+	zone    instancelist.AvailabilityZone
+	runners map[runner.ID]*Runner
+}
+
+// NewFleet returns an empty fleet seen from an availability zone.
+func NewFleet(zone instancelist.AvailabilityZone) *Fleet {
+	return &Fleet{zone: zone, runners: map[runner.ID]*Runner{}}
+}
+
+// SetInstances takes the engines of the instance list. What is known of those
+// that stay is kept.
+func (f *Fleet) SetInstances(engines []instancelist.Instance) {
+	listed := make(map[runner.ID]bool, len(engines))
+	for _, i := range engines {
+		id := runner.ID(i.ID)
+		listed[id] = true
+		r, ok := f.runners[id]
+		if !ok || r.Address != i.Address {
+			r = &Runner{ID: id, Address: i.Address}
+			f.runners[id] = r
+		}
+		r.Zone, r.Leaving = i.Zone, i.Leaving
+	}
+	for id := range f.runners {
+		if !listed[id] {
+			delete(f.runners, id)
+		}
+	}
+}
+
+// Runners returns all runners, sorted by id.
+func (f *Fleet) Runners() []*Runner {
+	list := make([]*Runner, 0, len(f.runners))
+	for _, r := range f.runners {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Runner returns one runner.
+func (f *Fleet) Runner(id runner.ID) (*Runner, bool) {
+	r, ok := f.runners[id]
+	return r, ok
+}
+
+// Reported takes what a runner said at a time. A report older than the one
+// held is dropped. It reports whether the runner is another process than
+// before.
+func (f *Fleet) Reported(at time.Time, id runner.ID, report Report) (restarted bool) {
+	r, ok := f.runners[id]
+	if !ok || at.Before(r.reported) {
+		return false
+	}
+	restarted = r.Report.Incarnation != "" && r.Report.Incarnation != report.Incarnation
+	if restarted {
+		r.failures, r.ejected = 0, time.Time{}
+	}
+	r.Report, r.reported = report, at
+	return restarted
+}
+
+// Started counts a step that was sent to a runner.
+func (f *Fleet) Started(id runner.ID) {
+	if r, ok := f.runners[id]; ok {
+		r.inFlight++
+	}
+}
+
+// Finished counts a step that a runner answered or will never answer.
+func (f *Fleet) Finished(id runner.ID) {
+	if r, ok := f.runners[id]; ok && r.inFlight > 0 {
+		r.inFlight--
+	}
+}
+
+// Succeeded ends a runner's ejection.
+func (f *Fleet) Succeeded(id runner.ID) {
+	if r, ok := f.runners[id]; ok {
+		r.failures, r.ejected = 0, time.Time{}
+	}
+}
+
+// Failed ejects a runner for a time that doubles with each failure in a row.
+func (f *Fleet) Failed(now time.Time, id runner.ID) {
+	r, ok := f.runners[id]
+	if !ok {
+		return
+	}
+	span := ejectMin << min(r.failures, 10)
+	r.ejected = now.Add(min(span, ejectMax))
+	r.failures++
+}
+
+// Query asks for a path.
+type Query struct {
+	Model   environment.ModelName
+	Version environment.ModelVersion
+	Layers  int
+	// Positions is the number of positions that the first pass runs.
+	Positions int
+	// Avoid lists runners that this request must not use.
+	Avoid map[runner.ID]bool
+}
+
+// Choose returns the cheapest path for a query: in the own availability zone
+// where that covers the layers, and through as few other runners as possible
+// where it doesn't.
+func (f *Fleet) Choose(now time.Time, q Query) (Path, error) {
+	best := make([]time.Duration, q.Layers+1)
+	via := make([]*Runner, q.Layers+1)
+	reached := make([]bool, q.Layers+1)
+	reached[0] = true
+	candidates := f.candidates(q)
+	for _, r := range candidates {
+		from, to := r.Report.Range.First, r.Report.Range.End
+		if !reached[from] {
+			continue
+		}
+		total := best[from] + f.cost(now, r, q.Positions)
+		if !reached[to] || total < best[to] {
+			best[to], via[to], reached[to] = total, r, true
+		}
+	}
+	if !reached[q.Layers] {
+		return nil, &NoPathError{Model: q.Model, Version: q.Version}
+	}
+	var path Path
+	for at := q.Layers; at > 0; at = via[at].Report.Range.First {
+		r := via[at]
+		hop := Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, q.Positions)}
+		path = append(Path{hop}, path...)
+	}
+	return path, nil
+}
+
+// candidates returns the runners that may take new work for the query, by
+// rising first layer, so that one pass of Choose settles every layer.
+func (f *Fleet) candidates(q Query) []*Runner {
+	var list []*Runner
+	for _, r := range f.runners {
+		report := &r.Report
+		switch {
+		case r.Leaving || report.Leaving || report.Loading || q.Avoid[r.ID]:
+		case r.reported.IsZero() || report.Model != q.Model || report.Version != q.Version:
+		case report.Layers != q.Layers || report.Range.First < 0 || report.Range.End > q.Layers || report.Range.First >= report.Range.End:
+		default:
+			list = append(list, r)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.Report.Range.First != b.Report.Range.First {
+			return a.Report.Range.First < b.Report.Range.First
+		}
+		return a.ID < b.ID
+	})
+	return list
+}
+
+// cost ranks a runner: its predicted time, and penalties that put runners of
+// other zones and ejected ones behind all others.
+func (f *Fleet) cost(now time.Time, r *Runner, positions int) time.Duration {
+	cost := f.busy(now, r, positions)
+	if r.Zone != f.zone {
+		cost += remotePenalty
+	}
+	if now.Before(r.ejected) {
+		cost += ejectedPenalty
+	}
+	return cost
+}
+
+// busy predicts how long a runner takes for its part of a first pass.
+func (f *Fleet) busy(now time.Time, r *Runner, positions int) time.Duration {
+	perStep := r.Report.BatchCost + r.Report.PositionCost
+	if perStep <= 0 {
+		perStep = defaultCost
+	}
+	busy := perStep + time.Duration(max(positions-1, 0))*r.Report.PositionCost
+	busy += time.Duration(f.backlog(now, r) * float64(perStep))
+	return busy + r.Report.RoundTrip
+}
+
+// backlog is the work before a new step: the runner's own report, which counts
+// less the older it is, and what this instance has sent since.
+func (f *Fleet) backlog(now time.Time, r *Runner) float64 {
+	age := now.Sub(r.reported)
+	weight := float64(loadHalfLife) / float64(loadHalfLife+max(age, 0))
+	return float64(r.Report.Queued)*weight + float64(r.inFlight)
+}
+
+// ReportedAt returns when the newest report was made, zero before the first.
+func (r *Runner) ReportedAt() time.Time {
+	return r.reported
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,323 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
+
+	"mulberryhead.org/mulberryhead/internal/hashmodel"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const sessionEvents = 64
+
+// FailedError says that an answer could not be made whole.
+type FailedError struct {
+	Reason  FailReason
+	Emitted int
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("answer failed after %d tokens: %s", e.Emitted, e.Reason)
+}
+
+// Request asks for an answer.
+type Request struct {
+	Model     environment.ModelName
+	Version   environment.ModelVersion
+	Layers    int
+	Priority  int
+	Prompt    []hashmodel.Token
+	MaxTokens int
+}
+
+// Counts is what a pool has seen so far.
+type Counts struct {
+	Dropped     uint64
+	Paths       uint64
+	StreamsLost uint64
+	Steps       uint64
+}
+
+// Pool makes answers with the runners of a fleet.
+type Pool struct {
+	dials singleflight.Group
+
+	mu       sync.Mutex
+	fleet    *Fleet
+	streams  map[runner.ID]*runner.Stream
+	sessions map[runner.SessionID]*running
+	counts   Counts
+}
+
+// running is a session and the runner that its outstanding step is at.
+type running struct {
+	events  chan Event
+	at      runner.ID
+	stream  *runner.Stream
+	session *Session
+}
+
+// NewPool returns a pool without runners.
+func NewPool(zone instancelist.AvailabilityZone) *Pool {
+	return &Pool{
+		fleet:    NewFleet(zone),
+		streams:  map[runner.ID]*runner.Stream{},
+		sessions: map[runner.SessionID]*running{},
+	}
+}
+
+// Update gives f the fleet, under the pool's lock.
+func (p *Pool) Update(f func(*Fleet)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.fleet)
+}
+
+// Counts returns what the pool has seen so far.
+func (p *Pool) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Replied implements runner.Receiver.
+func (p *Pool) Replied(from runner.ID, reply runner.Reply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.sessions[reply.Session]
+	if !ok {
+		p.counts.Dropped++
+		return
+	}
+	p.push(r, StepReplied{From: from, Reply: reply})
+}
+
+// Lost implements runner.Receiver.
+func (p *Pool) Lost(from runner.ID, stream *runner.Stream, _ error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.StreamsLost++
+	if p.streams[from] == stream {
+		delete(p.streams, from)
+	}
+	for _, r := range p.sessions {
+		if r.stream == stream {
+			r.stream = nil
+			p.push(r, StreamLost{Runner: from})
+		}
+	}
+}
+
+// push never blocks the reader of a stream. A session that misses an event
+// because its queue is full notices when its step stalls.
+func (p *Pool) push(r *running, event Event) {
+	select {
+	case r.events <- event:
+	default:
+		p.counts.Dropped++
+	}
+}
+
+// Generate makes an answer and calls emit for each token, in order. It returns
+// nil only for a whole answer; the error is a *FailedError or ctx's.
+func (p *Pool) Generate(ctx context.Context, request Request, emit func(hashmodel.Token) error) error {
+	session := NewSession(SessionConfig{
+		ID: uuid.New(), Model: request.Model, Version: request.Version, Layers: request.Layers,
+		Priority: request.Priority, Prompt: request.Prompt, MaxTokens: request.MaxTokens,
+	})
+	r := &running{events: make(chan Event, sessionEvents), session: session}
+	id := session.config.ID
+	p.mu.Lock()
+	p.sessions[id] = r
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.settle(r)
+		delete(p.sessions, id)
+		p.mu.Unlock()
+	}()
+	d := driver{pool: p, running: r, request: request, emit: emit}
+	return d.run(ctx)
+}
+
+// settle ends the accounting of a session's outstanding step.
+func (p *Pool) settle(r *running) {
+	if r.at != "" {
+		p.fleet.Finished(r.at)
+		r.at = ""
+	}
+}
+
+// stream returns the open stream to a runner, opening one if there is none.
+func (p *Pool) stream(ctx context.Context, hop Hop) (*runner.Stream, error) {
+	p.mu.Lock()
+	s, ok := p.streams[hop.Runner]
+	p.mu.Unlock()
+	if ok && !s.Ended() {
+		return s, nil
+	}
+	opened, err, _ := p.dials.Do(string(hop.Runner), func() (any, error) {
+		s, err := runner.Dial(context.WithoutCancel(ctx), hop.Runner, hop.Address, p)
+		if err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		p.streams[hop.Runner] = s
+		p.mu.Unlock()
+		return s, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return opened.(*runner.Stream), nil
+}
+
+// driver runs one session in the goroutine of its caller.
+type driver struct {
+	pool    *Pool
+	running *running
+	request Request
+	emit    func(hashmodel.Token) error
+	emitted int
+	result  error
+	done    bool
+}
+
+func (d *driver) run(ctx context.Context) error {
+	session := d.running.session
+	d.execute(ctx, session.Start())
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !d.done {
+		timer.Reset(d.untilDue())
+		var event Event
+		select {
+		case event = <-d.running.events:
+		case <-timer.C:
+			event = Tick{}
+		case <-ctx.Done():
+			d.result = ctx.Err()
+			event = Cancelled{}
+		}
+		d.execute(ctx, session.Step(time.Now(), event))
+		d.done = d.done || session.Ended()
+	}
+	return d.result
+}
+
+func (d *driver) untilDue() time.Duration {
+	due := d.running.session.Due()
+	if due.IsZero() {
+		return time.Hour
+	}
+	return max(time.Until(due), time.Millisecond)
+}
+
+// execute carries out actions, and those that follow from them at once.
+func (d *driver) execute(ctx context.Context, actions []Action) {
+	session := d.running.session
+	for len(actions) > 0 {
+		action := actions[0]
+		actions = actions[1:]
+		if event := d.do(ctx, action); event != nil {
+			actions = append(actions, session.Step(time.Now(), event)...)
+		}
+	}
+}
+
+// do carries out one action and returns the event that it led to, if any.
+func (d *driver) do(ctx context.Context, action Action) Event {
+	switch a := action.(type) {
+	case ChoosePath:
+		return d.choose(a)
+	case SendStep:
+		return d.send(ctx, a)
+	case CloseStage:
+		d.closeStage(a)
+	case Emit:
+		if err := d.emit(a.Token); err != nil {
+			d.result = err
+			return Cancelled{}
+		}
+		d.emitted++
+	case BlameRunner:
+		d.pool.Update(func(f *Fleet) { f.Failed(time.Now(), a.Runner) })
+	case DropReply:
+		d.pool.mu.Lock()
+		d.pool.counts.Dropped++
+		d.pool.mu.Unlock()
+	case Finish:
+		d.done = true
+	case Fail:
+		d.result = &FailedError{Reason: a.Reason, Emitted: d.emitted}
+		d.done = true
+	}
+	return nil
+}
+
+func (d *driver) choose(a ChoosePath) Event {
+	d.pool.mu.Lock()
+	defer d.pool.mu.Unlock()
+	d.pool.settle(d.running)
+	d.pool.counts.Paths++
+	path, err := d.pool.fleet.Choose(time.Now(), Query{
+		Model: d.request.Model, Version: d.request.Version, Layers: d.request.Layers,
+		Positions: a.Positions, Avoid: a.Avoid,
+	})
+	if err != nil {
+		return NoPath{}
+	}
+	return PathChosen{Path: path}
+}
+
+func (d *driver) send(ctx context.Context, a SendStep) Event {
+	d.account(a.Hop.Runner)
+	stream, err := d.pool.stream(ctx, a.Hop)
+	if err != nil {
+		return RunnerUnreachable{Runner: a.Hop.Runner}
+	}
+	d.pool.mu.Lock()
+	d.running.stream = stream
+	d.pool.mu.Unlock()
+	if stream.Send(a.Step) {
+		return nil
+	}
+	return d.notSent(a, stream)
+}
+
+// notSent reports a stream's end once: Lost may have reported it already.
+func (d *driver) notSent(a SendStep, stream *runner.Stream) Event {
+	d.pool.mu.Lock()
+	defer d.pool.mu.Unlock()
+	if d.running.stream != stream {
+		return nil
+	}
+	d.running.stream = nil
+	return StreamLost{Runner: a.Hop.Runner}
+}
+
+// account moves the session's outstanding step to a runner.
+func (d *driver) account(id runner.ID) {
+	d.pool.mu.Lock()
+	defer d.pool.mu.Unlock()
+	d.pool.settle(d.running)
+	d.running.at = id
+	d.pool.fleet.Started(id)
+	d.pool.counts.Steps++
+}
+
+func (d *driver) closeStage(a CloseStage) {
+	d.pool.mu.Lock()
+	stream := d.pool.streams[a.Hop.Runner]
+	d.pool.mu.Unlock()
+	if stream != nil {
+		stream.Close(a.Close)
+	}
+}
--- /dev/null
+++ b/internal/engine/session.go
@@ -0,0 +1,375 @@
+package engine
+
+import (
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/hashmodel"
+	"mulberryhead.org/mulberryhead/internal/invariant"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	// stallTimeout plus stallFactor times the predicted time is how long a
+	// step may take before it is sent again. A silent connection is noticed
+	// by its stream before that.
+	stallTimeout = 250 * time.Millisecond
+	stallFactor  = 3
+	// maxPaths bounds how often one answer changes its path.
+	maxPaths = 8
+)
+
+// Event is something that happened to a session.
+type Event interface {
+	isEvent()
+}
+
+// PathChosen answers a ChoosePath.
+type PathChosen struct {
+	Path Path
+}
+
+// NoPath answers a ChoosePath when no runners cover the layers.
+type NoPath struct{}
+
+// StepReplied gives a reply and the runner whose stream it came in on.
+type StepReplied struct {
+	From  runner.ID
+	Reply runner.Reply
+}
+
+// StreamLost says that the stream to a runner ended.
+type StreamLost struct {
+	Runner runner.ID
+}
+
+// RunnerUnreachable says that no new stream to a runner could be opened.
+type RunnerUnreachable struct {
+	Runner runner.ID
+}
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Cancelled says that the caller no longer wants the answer.
+type Cancelled struct{}
+
+func (PathChosen) isEvent()        {}
+func (NoPath) isEvent()            {}
+func (StepReplied) isEvent()       {}
+func (StreamLost) isEvent()        {}
+func (RunnerUnreachable) isEvent() {}
+func (Tick) isEvent()              {}
+func (Cancelled) isEvent()         {}
+
+// Action is something to do for a session.
+type Action interface {
+	isAction()
+}
+
+// ChoosePath asks for a path that avoids some runners.
+type ChoosePath struct {
+	Positions int
+	Avoid     map[runner.ID]bool
+}
+
+// SendStep asks for a step to be sent to a runner, over a new stream if the
+// last one has ended.
+type SendStep struct {
+	Hop  Hop
+	Step runner.Step
+}
+
+// CloseStage frees a runner's state.
+type CloseStage struct {
+	Hop   Hop
+	Close runner.Close
+}
+
+// Emit gives the caller the next token.
+type Emit struct {
+	Token hashmodel.Token
+}
+
+// BlameRunner says that a runner did not answer.
+type BlameRunner struct {
+	Runner runner.ID
+}
+
+// DropReply counts a reply that belongs to no step under way.
+type DropReply struct {
+	From runner.ID
+}
+
+// Finish ends the answer; it is whole.
+type Finish struct{}
+
+// FailReason says why an answer can't go on.
+type FailReason string
+
+// The reasons for an answer that can't go on.
+const (
+	FailNoPath       FailReason = "no-path"
+	FailTooManyPaths FailReason = "too-many-failures"
+	FailInvariant    FailReason = "internal"
+)
+
+// Fail ends the answer; it is not whole.
+type Fail struct {
+	Reason FailReason
+}
+
+func (ChoosePath) isAction()  {}
+func (SendStep) isAction()    {}
+func (CloseStage) isAction()  {}
+func (Emit) isAction()        {}
+func (BlameRunner) isAction() {}
+func (DropReply) isAction()   {}
+func (Finish) isAction()      {}
+func (Fail) isAction()        {}
+
+// SessionConfig describes one answer.
+type SessionConfig struct {
+	ID        runner.SessionID
+	Model     environment.ModelName
+	Version   environment.ModelVersion
+	Layers    int
+	Priority  int
+	Prompt    []hashmodel.Token
+	MaxTokens int
+}
+
+// Session decides about one answer. A step is outstanding at one runner at a
+// time; a reply is taken only if it answers exactly that step.
+type Session struct {
+	config SessionConfig
+	// tokens is the prompt and all tokens emitted.
+	tokens  []hashmodel.Token
+	emitted int
+	path    Path
+	epoch   runner.Epoch
+	hop     int
+	step    runner.Step
+	// due is when the outstanding step counts as stalled; zero if none is.
+	due    time.Time
+	resent bool
+	avoid  map[runner.ID]bool
+	paths  int
+	ended  bool
+}
+
+// NewSession returns the decider of an answer.
+func NewSession(config SessionConfig) *Session {
+	return &Session{
+		config: config,
+		tokens: append([]hashmodel.Token(nil), config.Prompt...),
+		avoid:  map[runner.ID]bool{},
+	}
+}
+
+// Ended reports whether the answer was finished, failed or cancelled.
+func (s *Session) Ended() bool {
+	return s.ended
+}
+
+// Due returns when the session needs a Tick; zero if it needs none.
+func (s *Session) Due() time.Time {
+	return s.due
+}
+
+// Start returns the first action.
+func (s *Session) Start() []Action {
+	return []Action{s.choose()}
+}
+
+// Step takes an event and returns what to do, in order.
+func (s *Session) Step(now time.Time, event Event) []Action {
+	if s.ended {
+		if e, ok := event.(StepReplied); ok {
+			return []Action{DropReply{From: e.From}}
+		}
+		return nil
+	}
+	switch e := event.(type) {
+	case PathChosen:
+		return s.begin(now, e.Path)
+	case NoPath:
+		return s.noPath()
+	case StepReplied:
+		return s.replied(now, e)
+	case StreamLost:
+		return s.streamLost(now, e.Runner)
+	case RunnerUnreachable:
+		return s.unreachable(e.Runner)
+	case Tick:
+		return s.tick(now)
+	case Cancelled:
+		return s.end()
+	}
+	return nil
+}
+
+func (s *Session) choose() Action {
+	s.due = time.Time{}
+	s.path = nil
+	return ChoosePath{Positions: len(s.tokens), Avoid: s.avoid}
+}
+
+// begin starts over on a new path from all tokens known so far.
+func (s *Session) begin(now time.Time, path Path) []Action {
+	s.path = path
+	s.paths++
+	s.epoch++
+	s.hop = 0
+	step := s.newStep(0)
+	step.Tokens = append([]hashmodel.Token(nil), s.tokens...)
+	return []Action{s.send(now, step, false)}
+}
+
+func (s *Session) newStep(position runner.Position) runner.Step {
+	return runner.Step{
+		Session: s.config.ID, Epoch: s.epoch, Position: position,
+		Range: s.path[s.hop].Range, Model: s.config.Model, Version: s.config.Version, Priority: s.config.Priority,
+	}
+}
+
+func (s *Session) send(now time.Time, step runner.Step, again bool) Action {
+	hop := s.path[s.hop]
+	s.step = step
+	s.resent = again
+	s.due = now.Add(stallTimeout + stallFactor*hop.Expected)
+	return SendStep{Hop: hop, Step: step}
+}
+
+func (s *Session) replied(now time.Time, e StepReplied) []Action {
+	if !s.expects(e) {
+		return []Action{DropReply{From: e.From}}
+	}
+	if e.Reply.Status != runner.StepRan {
+		return s.repath(e.From)
+	}
+	last := s.hop == len(s.path)-1
+	if !last {
+		if len(e.Reply.Hidden) != s.step.Count() {
+			return append([]Action{BlameRunner{Runner: e.From}}, s.repath(e.From)...)
+		}
+		return s.forward(now, e.Reply.Hidden)
+	}
+	return s.token(now, e.Reply.Token)
+}
+
+// expects reports whether a reply answers the outstanding step.
+func (s *Session) expects(e StepReplied) bool {
+	if s.path == nil || s.due.IsZero() || e.From != s.path[s.hop].Runner {
+		return false
+	}
+	r, step := e.Reply, s.step
+	if r.Session != step.Session || r.Epoch != step.Epoch || r.Position != step.Position {
+		return false
+	}
+	if r.Status != runner.StepRan {
+		return true
+	}
+	return r.Range == step.Range && r.Version == step.Version
+}
+
+func (s *Session) forward(now time.Time, hidden []hashmodel.Hidden) []Action {
+	position := s.step.Position
+	done := s.step.Range.End
+	s.hop++
+	step := s.newStep(position)
+	if err := invariant.Check(step.Range.First == done, invariant.LayerOrder,
+		"layer %d follows layer %d", step.Range.First, done-1); err != nil {
+		return append([]Action{Fail{Reason: FailInvariant}}, s.end()...)
+	}
+	step.Hidden = hidden
+	return []Action{s.send(now, step, false)}
+}
+
+func (s *Session) token(now time.Time, token hashmodel.Token) []Action {
+	ran := int(s.step.Position) + s.step.Count()
+	complete := s.step.Range.End == s.config.Layers && ran == len(s.tokens)
+	if err := invariant.Check(complete, invariant.LayerOrder,
+		"token taken after layer %d at position %d of %d", s.step.Range.End-1, ran, len(s.tokens)); err != nil {
+		return append([]Action{Fail{Reason: FailInvariant}}, s.end()...)
+	}
+	s.tokens = append(s.tokens, token)
+	s.emitted++
+	actions := []Action{Emit{Token: token}}
+	if s.emitted >= s.config.MaxTokens {
+		return append(append(actions, Finish{}), s.end()...)
+	}
+	s.hop = 0
+	step := s.newStep(runner.Position(ran))
+	step.Tokens = []hashmodel.Token{token}
+	return append(actions, s.send(now, step, false))
+}
+
+// streamLost sends the step again on a new connection: the runner answers a
+// repeated step from its store, so nothing runs twice.
+func (s *Session) streamLost(now time.Time, id runner.ID) []Action {
+	if s.path == nil || s.path[s.hop].Runner != id || s.due.IsZero() {
+		return nil
+	}
+	if s.resent {
+		return s.unreachable(id)
+	}
+	return []Action{s.send(now, s.step, true)}
+}
+
+func (s *Session) unreachable(id runner.ID) []Action {
+	if s.path == nil || s.path[s.hop].Runner != id {
+		return nil
+	}
+	return append([]Action{BlameRunner{Runner: id}}, s.repath(id)...)
+}
+
+// repath goes on without a runner.
+func (s *Session) repath(id runner.ID) []Action {
+	actions := s.closeStages()
+	s.avoid[id] = true
+	if s.paths >= maxPaths {
+		return append(append(actions, Fail{Reason: FailTooManyPaths}), s.end()...)
+	}
+	return append(actions, s.choose())
+}
+
+// noPath forgets which runners to avoid once: a runner that was lost may serve
+// again, and none may be left without it.
+func (s *Session) noPath() []Action {
+	if len(s.avoid) > 0 && s.paths < maxPaths {
+		s.avoid = map[runner.ID]bool{}
+		s.paths++
+		return []Action{s.choose()}
+	}
+	return append([]Action{Fail{Reason: FailNoPath}}, s.end()...)
+}
+
+func (s *Session) tick(now time.Time) []Action {
+	if s.due.IsZero() || now.Before(s.due) {
+		return nil
+	}
+	if !s.resent {
+		return []Action{s.send(now, s.step, true)}
+	}
+	return s.unreachable(s.path[s.hop].Runner)
+}
+
+func (s *Session) closeStages() []Action {
+	var actions []Action
+	for i, hop := range s.path {
+		if i > s.hop && s.step.Position == 0 {
+			break
+		}
+		actions = append(actions, CloseStage{Hop: hop, Close: runner.Close{Session: s.config.ID, Epoch: s.epoch}})
+	}
+	return actions
+}
+
+func (s *Session) end() []Action {
+	actions := s.closeStages()
+	s.ended = true
+	s.due = time.Time{}
+	s.path = nil
+	return actions
+}
--- /dev/null
+++ b/internal/engine/status.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	statusTimeout  = 1 * time.Second
+	maxStatusBytes = 1 << 16
+)
+
+type wireStatus struct {
+	Incarnation    string `json:"incarnation"`
+	Model          string `json:"model"`
+	Version        string `json:"version"`
+	Layers         int    `json:"layers"`
+	First          int    `json:"first"`
+	End            int    `json:"end"`
+	Leaving        bool   `json:"leaving"`
+	Loading        bool   `json:"loading"`
+	Queued         int    `json:"queued"`
+	PositionMicros int64  `json:"position-micros"`
+	BatchMicros    int64  `json:"batch-micros"`
+	Fence          int64  `json:"fence"`
+}
+
+// StatusError says that a runner's report could not be fetched.
+type StatusError struct {
+	Runner runner.ID
+	Cause  error
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status of runner %s: %v", e.Runner, e.Cause)
+}
+
+func (e *StatusError) Unwrap() error { return e.Cause }
+
+// StatusClient fetches the reports of runners.
+type StatusClient struct {
+	http *http.Client
+}
+
+// NewStatusClient returns a client with connections of its own.
+func NewStatusClient() *StatusClient {
+	return &StatusClient{http: &http.Client{Timeout: statusTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// Fetch returns a runner's report. The error is a *StatusError.
+func (c *StatusClient) Fetch(ctx context.Context, id runner.ID, address string) (Report, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	if err != nil {
+		return Report{}, &StatusError{Runner: id, Cause: err}
+	}
+	began := time.Now()
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Report{}, &StatusError{Runner: id, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var w wireStatus
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&w); err != nil {
+		return Report{}, &StatusError{Runner: id, Cause: err}
+	}
+	report := reportFromWire(&w)
+	report.RoundTrip = time.Since(began)
+	return report, nil
+}
+
+func reportFromWire(w *wireStatus) Report {
+	return Report{
+		Incarnation: w.Incarnation,
+		Model:       environment.ModelName(w.Model), Version: environment.ModelVersion(w.Version),
+		Layers: w.Layers, Range: runner.LayerRange{First: w.First, End: w.End},
+		Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued,
+		BatchCost:    time.Duration(w.BatchMicros) * time.Microsecond,
+		PositionCost: time.Duration(w.PositionMicros) * time.Microsecond,
+		Fence:        w.Fence,
+	}
+}
--- /dev/null
+++ b/internal/instancelist/instancelist.go
@@ -0,0 +1,165 @@
+// Package instancelist reads the platform's list of instances and keeps what
+// it says while the platform can't be reached.
+//
+// Usage: poll with Client.Read, hand each list to View.Update, and take the
+// candidates for new work from View.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+)
+
+const (
+	readTimeout  = 2 * time.Second
+	maxListBytes = 8 << 20
+)
+
+// ID identifies an instance.
+type ID string
+
+// AvailabilityZone names an availability zone.
+type AvailabilityZone string
+
+// Region names a region.
+type Region string
+
+// Kind says what runs on an instance.
+type Kind string
+
+// The kinds of instances.
+const (
+	Entry   Kind = "entry"
+	Engine  Kind = "engine"
+	Service Kind = "service"
+)
+
+// Instance is one entry of the list.
+type Instance struct {
+	ID      ID
+	Kind    Kind
+	Zone    AvailabilityZone
+	Region  Region
+	Address string
+	// Serves is the model or the plain service that a backend server offers.
+	Serves  string
+	Leaving bool
+}
+
+// UnavailableError says that the list could not be read.
+type UnavailableError struct {
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("read of the instance list failed: %v", e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// Client reads the list.
+type Client struct {
+	url       string
+	userAgent string
+	http      *http.Client
+}
+
+// NewClient returns a client of the platform at address, HOST:PORT. The
+// platform sees callerID in the User-Agent.
+func NewClient(address, callerID string) *Client {
+	return &Client{
+		url:       "http://" + address + "/instances",
+		userAgent: "mulberryhead/" + callerID,
+		http:      &http.Client{Timeout: readTimeout},
+	}
+}
+
+type wireInstance struct {
+	ID      string `json:"id"`
+	Kind    string `json:"kind"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	Address string `json:"address"`
+	Serves  string `json:"serves"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Read returns the list. The error is an *UnavailableError.
+func (c *Client) Read(ctx context.Context) ([]Instance, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	request.Header.Set("User-Agent", c.userAgent)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, &UnavailableError{Cause: fmt.Errorf("status %d", response.StatusCode)}
+	}
+	var wire []wireInstance
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&wire); err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	list := make([]Instance, 0, len(wire))
+	for _, w := range wire {
+		list = append(list, Instance{
+			ID: ID(w.ID), Kind: Kind(w.Kind), Zone: AvailabilityZone(w.Zone), Region: Region(w.Region),
+			Address: w.Address, Serves: w.Serves, Leaving: w.Leaving,
+		})
+	}
+	return list, nil
+}
+
+// View is the newest list that was read.
+type View struct {
+	instances map[ID]Instance
+	updated   time.Time
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{instances: map[ID]Instance{}}
+}
+
+// Update replaces the list. An instance that is no longer listed is gone.
+func (v *View) Update(now time.Time, list []Instance) {
+	v.instances = make(map[ID]Instance, len(list))
+	for _, i := range list {
+		v.instances[i.ID] = i
+	}
+	v.updated = now
+}
+
+// Age returns how old the list is, and false if none was ever read.
+func (v *View) Age(now time.Time) (time.Duration, bool) {
+	if v.updated.IsZero() {
+		return 0, false
+	}
+	return now.Sub(v.updated), true
+}
+
+// Of returns the instances of a kind, sorted by id.
+func (v *View) Of(kind Kind) []Instance {
+	var list []Instance
+	for _, i := range v.instances {
+		if i.Kind == kind {
+			list = append(list, i)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+	return list
+}
+
+// Get returns an instance.
+func (v *View) Get(id ID) (Instance, bool) {
+	i, ok := v.instances[id]
+	return i, ok
+}
--- /dev/null
+++ b/internal/load/call.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const resendPause = 100 * time.Millisecond
+
+// call makes one call that must run at most once, and sends it again under the
+// same key while it is not done.
+func (g *generator) call(ctx context.Context, a arrival) {
+	key, err := uuid.NewV7()
+	if err != nil {
+		g.report.problem("no-key")
+		return
+	}
+	body := fmt.Appendf(nil, `{"number":%d}`, a.number)
+	outcome := ""
+	for attempt := 0; attempt <= g.options.Resend; attempt++ {
+		var answer error
+		outcome, _, answer = g.client.post(ctx, g.address(a.number+attempt), g.options, key.String(), body)
+		var refused *ProblemError
+		switch {
+		case errors.As(answer, &refused):
+			g.report.problem(refused.Code)
+		case answer != nil:
+			g.report.problem("connection")
+			outcome = "unknown"
+		}
+		if outcome == "done" {
+			g.report.call(time.Since(a.due))
+			break
+		}
+		time.Sleep(resendPause)
+	}
+	g.report.outcome(key.String(), outcome)
+}
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const requestTimeout = 2 * time.Minute
+
+// ProblemError is a problem that an instance answered with.
+type ProblemError struct {
+	Status     int
+	Code       string
+	Outcome    string
+	Attempt    string
+	RetryAfter string
+}
+
+func (e *ProblemError) Error() string {
+	return fmt.Sprintf("%d %s", e.Status, e.Code)
+}
+
+// CutError says that an answer ended before its end.
+type CutError struct {
+	Cause error
+}
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("answer cut: %v", e.Cause)
+}
+
+func (e *CutError) Unwrap() error { return e.Cause }
+
+var errNoDone = errors.New("stream ended without [DONE]")
+
+type httpClient struct {
+	http *http.Client
+}
+
+func newHTTPClient() *httpClient {
+	const connections = 4096
+	return &httpClient{http: &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{MaxIdleConns: connections, MaxIdleConnsPerHost: connections},
+	}}
+}
+
+func (c *httpClient) request(ctx context.Context, method, url string, o Options, body []byte) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+o.APIKey)
+	request.Header.Set("Content-Type", "application/json")
+	if o.Stage != "" {
+		request.Header.Set("Mulberryhead-Stage", o.Stage)
+	}
+	return request, nil
+}
+
+type wireChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+}
+
+// stream asks for a streamed chat answer and calls token for each token. It
+// returns nil only when the stream ended in [DONE].
+func (c *httpClient) stream(ctx context.Context, address string, o Options, prompt string, token func(string)) error {
+	body, err := json.Marshal(map[string]any{
+		"model": o.Model, "max_tokens": o.MaxTokens, "stream": true,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return err
+	}
+	request, err := c.request(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", o, body)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &CutError{Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return problem(response)
+	}
+	return readEvents(response.Body, token)
+}
+
+func readEvents(body io.Reader, token func(string)) error {
+	scanner := bufio.NewScanner(body)
+	failed := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		if line == "event: error" {
+			failed = true
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if failed {
+			return problemFromJSON(http.StatusOK, []byte(data))
+		}
+		if data == "[DONE]" {
+			return nil
+		}
+		var chunk wireChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return &CutError{Cause: err}
+		}
+		for _, choice := range chunk.Choices {
+			if choice.Delta.Content != "" {
+				token(choice.Delta.Content)
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return &CutError{Cause: err}
+	}
+	return &CutError{Cause: errNoDone}
+}
+
+func problem(response *http.Response) error {
+	const maxProblem = 1 << 16
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxProblem))
+	if err != nil {
+		return &CutError{Cause: err}
+	}
+	p := problemFromJSON(response.StatusCode, data)
+	p.Outcome = response.Header.Get("Mulberryhead-Outcome")
+	p.Attempt = response.Header.Get("Mulberryhead-Attempt")
+	p.RetryAfter = response.Header.Get("Retry-After")
+	return p
+}
+
+func problemFromJSON(status int, data []byte) *ProblemError {
+	var wire struct {
+		Code string `json:"code"`
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return &ProblemError{Status: status, Code: "unreadable"}
+	}
+	return &ProblemError{Status: status, Code: wire.Code}
+}
+
+// post makes a call under a key and returns its outcome.
+func (c *httpClient) post(ctx context.Context, address string, o Options, key string, body []byte) (outcome string, answer []byte, err error) {
+	request, err := c.request(ctx, http.MethodPost, "http://"+address+"/services/"+o.Service+o.CallPath, o, body)
+	if err != nil {
+		return "", nil, err
+	}
+	request.Header.Set("Idempotency-Key", key)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return "", nil, &CutError{Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		err := problem(response)
+		return response.Header.Get("Mulberryhead-Outcome"), nil, err
+	}
+	answer, err = io.ReadAll(response.Body)
+	if err != nil {
+		return "", nil, &CutError{Cause: err}
+	}
+	return response.Header.Get("Mulberryhead-Outcome"), answer, nil
+}
--- /dev/null
+++ b/internal/localcluster/cluster.go
@@ -0,0 +1,369 @@
+package localcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/operator"
+	"mulberryhead.org/mulberryhead/internal/standin"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+// The names and keys of the deployment that Start makes.
+const (
+	Model         = "joint-guide"
+	ModelVersion  = "v1"
+	Layers        = 12
+	ServiceName   = "orders"
+	Environment   = "bench"
+	APIKey        = "demo-tenant-key"
+	OperatorToken = "demo-operator-token"
+
+	readyPoll = 20 * time.Millisecond
+)
+
+// Engine describes one model engine to start.
+type Engine struct {
+	ID         string
+	Zone       string
+	First, End int
+	BatchCost  time.Duration
+	// RefuseOldFence makes it check fencing numbers.
+	RefuseOldFence bool
+}
+
+// Member names an entry instance or a plain service and its zone.
+type Member struct {
+	ID   string
+	Zone string
+}
+
+// Config describes a deployment.
+type Config struct {
+	// Binaries is the directory of the programs.
+	Binaries string
+	// Scratch is a directory for settings files.
+	Scratch  string
+	Engines  []Engine
+	Services []Member
+	Entries  []Member
+	// Lists limits what the instance list names: the ids left out are started
+	// but not listed.
+	LogLevel string
+}
+
+// TwoZones is the deployment of the demo: two availability zones, each able to
+// cover all layers, with engines of two kinds.
+func TwoZones(binaries, scratch string) Config {
+	const fast, slow = 500 * time.Microsecond, 2 * time.Millisecond
+	return Config{
+		Binaries: binaries, Scratch: scratch, LogLevel: "info",
+		Engines: []Engine{
+			{ID: "engine-a1", Zone: "zone-a", First: 0, End: 6, BatchCost: fast, RefuseOldFence: true},
+			{ID: "engine-a2", Zone: "zone-a", First: 6, End: 12, BatchCost: slow},
+			{ID: "engine-a3", Zone: "zone-a", First: 6, End: 12, BatchCost: fast, RefuseOldFence: true},
+			{ID: "engine-b1", Zone: "zone-b", First: 0, End: 4, BatchCost: slow},
+			{ID: "engine-b2", Zone: "zone-b", First: 4, End: 12, BatchCost: fast, RefuseOldFence: true},
+			{ID: "engine-b3", Zone: "zone-b", First: 0, End: 4, BatchCost: fast},
+		},
+		Services: []Member{{ID: "service-a", Zone: "zone-a"}, {ID: "service-b", Zone: "zone-b"}},
+		Entries:  []Member{{ID: "entry-a1", Zone: "zone-a"}, {ID: "entry-a2", Zone: "zone-a"}, {ID: "entry-b1", Zone: "zone-b"}},
+	}
+}
+
+// Entry is a running entry instance.
+type Entry struct {
+	*Process
+	Member
+	Callers   string
+	Operators string
+	Peers     string
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	config    Config
+	client    *http.Client
+	Platform  string
+	processes []*Process
+	Engines   map[string]*Process
+	Services  map[string]*Process
+	Entries   []*Entry
+	platform  *Process
+}
+
+// Start starts a deployment and waits until every entry instance has read the
+// log. On failure it stops what it started.
+func Start(ctx context.Context, config Config) (*Cluster, error) {
+	c := &Cluster{
+		config: config, client: &http.Client{Timeout: startTimeout},
+		Engines: map[string]*Process{}, Services: map[string]*Process{},
+	}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, e := range c.config.Engines {
+		if err := c.StartEngine(ctx, e); err != nil {
+			return err
+		}
+	}
+	for _, s := range c.config.Services {
+		if err := c.startService(ctx, s); err != nil {
+			return err
+		}
+	}
+	for _, m := range c.config.Entries {
+		if _, err := c.StartEntry(ctx, m); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := c.WaitReady(ctx, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) run(ctx context.Context, name, role, program string, arguments ...string) (*Process, string, error) {
+	p, err := start(name, filepath.Join(c.config.Binaries, program), arguments...)
+	if err != nil {
+		return nil, "", err
+	}
+	c.processes = append(c.processes, p)
+	address, err := p.Address(ctx, role)
+	return p, address, err
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	p, address, err := c.run(ctx, "platform", "on", "mulberryhead-standin", "platform", "--listen", "127.0.0.1:0")
+	c.platform, c.Platform = p, address
+	return err
+}
+
+// StartEngine starts a model engine and lists it.
+func (c *Cluster) StartEngine(ctx context.Context, e Engine) error {
+	arguments := []string{
+		"engine", "--listen", "127.0.0.1:0", "--id", e.ID, "--model", Model, "--model-version", ModelVersion,
+		"--layers", fmt.Sprint(Layers), "--first", fmt.Sprint(e.First), "--end", fmt.Sprint(e.End),
+		"--batch-cost", e.BatchCost.String(), "--platform", c.Platform,
+	}
+	if e.RefuseOldFence {
+		arguments = append(arguments, "--refuse-old-fence")
+	}
+	p, address, err := c.run(ctx, e.ID, "on", "mulberryhead-standin", arguments...)
+	if err != nil {
+		return err
+	}
+	c.Engines[e.ID] = p
+	return c.List(ctx, standin.Instance{ID: e.ID, Kind: "engine", Zone: e.Zone, Region: "region-1", Address: address, Serves: Model})
+}
+
+func (c *Cluster) startService(ctx context.Context, m Member) error {
+	p, address, err := c.run(ctx, m.ID, "on", "mulberryhead-standin", "service", "--listen", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.Services[m.ID] = p
+	return c.List(ctx, standin.Instance{ID: m.ID, Kind: "service", Zone: m.Zone, Region: "region-1", Address: address, Serves: ServiceName})
+}
+
+// StartEntry starts an entry instance and lists it.
+func (c *Cluster) StartEntry(ctx context.Context, m Member) (*Entry, error) {
+	file := filepath.Join(c.config.Scratch, m.ID+".toml")
+	if err := os.WriteFile(file, []byte(c.settings(m)), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	p, callers, err := c.run(ctx, m.ID, "callers", "mulberryhead", "run", "--settings", file)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{Process: p, Member: m, Callers: callers}
+	if e.Operators, err = p.Address(ctx, "operators"); err != nil {
+		return nil, err
+	}
+	if e.Peers, err = p.Address(ctx, "peers"); err != nil {
+		return nil, err
+	}
+	c.Entries = append(c.Entries, e)
+	return e, c.List(ctx, standin.Instance{ID: m.ID, Kind: "entry", Zone: m.Zone, Region: "region-1", Address: e.Peers})
+}
+
+func (c *Cluster) settings(m Member) string {
+	return fmt.Sprintf(`[instance]
+id = %q
+availability-zone = %q
+region = "region-1"
+
+[listen]
+callers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+
+[platform]
+log-service = %q
+instance-list = %q
+
+[operators]
+token-sha256 = %q
+
+[log]
+level = %q
+`, m.ID, m.Zone, c.Platform, c.Platform, environment.HashKey(OperatorToken), c.config.LogLevel)
+}
+
+// List puts an instance on the platform's list.
+func (c *Cluster) List(ctx context.Context, i standin.Instance) error {
+	return c.send(ctx, http.MethodPut, "http://"+c.Platform+"/instances/"+i.ID, i, nil)
+}
+
+// Unlist takes an instance off the platform's list.
+func (c *Cluster) Unlist(ctx context.Context, id string) error {
+	return c.send(ctx, http.MethodDelete, "http://"+c.Platform+"/instances/"+id, nil, nil)
+}
+
+// Faults sets fault switches of a stand-in.
+func (c *Cluster) Faults(ctx context.Context, address string, switches map[string]any) error {
+	return c.send(ctx, http.MethodPost, "http://"+address+"/faults", switches, nil)
+}
+
+// Ledger returns what really ran at all plain services.
+func (c *Cluster) Ledger(ctx context.Context) ([]standin.LedgerEntry, error) {
+	var all []standin.LedgerEntry
+	for _, p := range c.Services {
+		address, err := p.Address(ctx, "on")
+		if err != nil {
+			return nil, err
+		}
+		var entries []standin.LedgerEntry
+		if err := c.send(ctx, http.MethodGet, "http://"+address+"/ledger", nil, &entries); err != nil {
+			return nil, err
+		}
+		all = append(all, entries...)
+	}
+	return all, nil
+}
+
+func (c *Cluster) send(ctx context.Context, method, url string, body, result any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode body: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("reach a stand-in: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s %s: status %d", method, url, response.StatusCode)
+	}
+	if result == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(result)
+}
+
+// Admin returns a client of an entry instance's administration API.
+func (e *Entry) Admin() *operator.Client {
+	return operator.NewClient(e.Operators, OperatorToken)
+}
+
+// WaitReady returns once an entry instance is ready.
+func (c *Cluster) WaitReady(ctx context.Context, e *Entry) error {
+	return Wait(ctx, e.Name+" is ready", func() bool {
+		status, err := e.Admin().Status(ctx)
+		return err == nil && status.Ready
+	})
+}
+
+// TimeoutError says that something did not come about in time.
+type TimeoutError struct {
+	What string
+}
+
+func (e *TimeoutError) Error() string {
+	return "waited in vain: " + e.What
+}
+
+// Wait polls until a condition holds, at most for a generous time.
+func Wait(ctx context.Context, what string, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return &TimeoutError{What: what}
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// Stop ends every process that was started, entry instances first.
+func (c *Cluster) Stop() error {
+	var failures []error
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		if err := c.processes[i].Stop(); err != nil {
+			failures = append(failures, err)
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// Document returns the document of the deployment's environment.
+func Document() []byte {
+	return fmt.Appendf(nil, `environment = %q
+
+[[model]]
+name = %q
+version = %q
+layers = %d
+
+[[service]]
+name = %q
+timeout = "3s"
+
+[[service.operation]]
+method = "POST"
+path = "/bookings"
+idempotent = false
+
+[[service.operation]]
+method = "GET"
+path = "/bookings"
+idempotent = true
+
+[[class]]
+name = "bench"
+priority = 10
+first-token = "730ms"
+
+[[tenant]]
+name = "apprentices"
+key-sha256 = %q
+class = "bench"
+weight = 1
+requests-per-second = 10000
+concurrent = 2000
+models = [%q]
+services = [%q]
+`, Environment, Model, ModelVersion, Layers, ServiceName, environment.HashKey(APIKey), Model, ServiceName)
+}
--- /dev/null
+++ b/internal/logservice/claim/call.go
@@ -0,0 +1,352 @@
+package claim
+
+import (
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/invariant"
+)
+
+const (
+	// releaseRetryAfter is when to come back for a call that did not run.
+	releaseRetryAfter = 1 * time.Second
+	// maxDispatches bounds the tries of one call at its backend servers.
+	maxDispatches = 3
+)
+
+// Answer is what a caller is told about a call's effect.
+type Answer string
+
+// The answers; their text is the value of the outcome header.
+const (
+	AnswerDone    Answer = "done"
+	AnswerNotRun  Answer = "not-run"
+	AnswerUnknown Answer = "unknown"
+)
+
+// Code is the stable reason of a problem.
+type Code string
+
+// The reasons that a call can end with.
+const (
+	CodeNone           Code = ""
+	CodeKeyReused      Code = "key-reused"
+	CodeLogUnavailable Code = "log-unavailable"
+	CodeNoBackend      Code = "no-backend-server"
+	CodeOutcomeUnknown Code = "outcome-unknown"
+	CodeInProgress     Code = "in-progress"
+)
+
+// Event is something that happened to a call.
+type Event interface {
+	isEvent()
+}
+
+// KeyState gives what the ledger knows about the key, at the start and each
+// time it changes.
+type KeyState struct {
+	State State
+}
+
+// ClaimRead says that the ledger has read the record that holds the claim, so
+// that State is final about it.
+type ClaimRead struct {
+	State State
+}
+
+// ClaimRefused says that the claim was not appended and never will be. Fresh
+// says that the ledger was read to the end of the log since the call began.
+type ClaimRefused struct {
+	RetryAfter time.Duration
+	Fresh      bool
+}
+
+// NotWritten says that a dispatch wrote nothing to a backend server.
+type NotWritten struct{}
+
+// ResponseLost says that a dispatch wrote something and got no response.
+type ResponseLost struct{}
+
+// Answered says that the backend server responded.
+type Answered struct {
+	Response Response
+}
+
+// Tick says that time has passed. Fresh says that the ledger was read to the
+// end of the log since the call began.
+type Tick struct {
+	Fresh bool
+}
+
+func (KeyState) isEvent()     {}
+func (ClaimRead) isEvent()    {}
+func (ClaimRefused) isEvent() {}
+func (NotWritten) isEvent()   {}
+func (ResponseLost) isEvent() {}
+func (Answered) isEvent()     {}
+func (Tick) isEvent()         {}
+
+// Action is something to do for a call.
+type Action interface {
+	isAction()
+}
+
+// Append asks for an entry to be appended to the log.
+type Append struct {
+	Entry Entry
+}
+
+// Dispatch asks for the call to be sent to a backend server that was not
+// tried before.
+type Dispatch struct{}
+
+// Reply gives the caller the final answer.
+type Reply struct {
+	// Answer is about the key: not-run means that no attempt under it ran.
+	Answer Answer
+	// AttemptNotRun says that this attempt did not run and never will, also
+	// where an earlier one under the same key may have.
+	AttemptNotRun bool
+	Code          Code
+	Response      Response
+	// RetryAfter is when to come back, 0 if coming back does not help.
+	RetryAfter time.Duration
+}
+
+func (Append) isAction()   {}
+func (Dispatch) isAction() {}
+func (Reply) isAction()    {}
+
+type callPhase uint8
+
+const (
+	callNew callPhase = iota
+	callClaiming
+	// callWaiting: another claim owns the key.
+	callWaiting
+	callDispatched
+	callReplied
+)
+
+// Call decides about one call under one key at one entry instance.
+type Call struct {
+	claim       Claim
+	honoursKeys bool
+	claimBy     time.Time
+	answerBy    time.Time
+	phase       callPhase
+	// outstanding is set while the claim may still turn up on the log.
+	outstanding bool
+	// written is set once a backend server may have got the call.
+	written    bool
+	dispatches int
+	released   bool
+}
+
+// CallConfig describes a call.
+type CallConfig struct {
+	Claim Claim
+	// HonoursKeys says that the service runs a key at most once itself.
+	HonoursKeys bool
+	// ClaimBy is when to give up the claim, AnswerBy when to give up the call.
+	ClaimBy  time.Time
+	AnswerBy time.Time
+}
+
+// NewCall returns the decider of a call. Its first event must be a KeyState.
+func NewCall(config CallConfig) *Call {
+	return &Call{
+		claim: config.Claim, honoursKeys: config.HonoursKeys,
+		claimBy: config.ClaimBy, answerBy: config.AnswerBy,
+	}
+}
+
+// Ended reports whether the call needs no more events. A call that was
+// answered while its claim could still turn up goes on, to release it.
+func (c *Call) Ended() bool {
+	return c.phase == callReplied && !c.outstanding
+}
+
+// Replied reports whether the caller got the final answer.
+func (c *Call) Replied() bool {
+	return c.phase == callReplied
+}
+
+// Step takes an event and returns what to do, in order.
+func (c *Call) Step(now time.Time, event Event) []Action {
+	switch e := event.(type) {
+	case KeyState:
+		return c.keyState(now, e.State)
+	case ClaimRead:
+		c.outstanding = false
+		return c.keyState(now, e.State)
+	case ClaimRefused:
+		return c.claimRefused(e)
+	case NotWritten:
+		return c.notWritten()
+	case ResponseLost:
+		return c.responseLost(now)
+	case Answered:
+		return c.answered(e.Response)
+	case Tick:
+		return c.tick(now, e.Fresh)
+	}
+	return nil
+}
+
+func (c *Call) keyState(now time.Time, s State) []Action {
+	if s.Phase != Free && s.ID == c.claim.ID {
+		return c.owner(now, s)
+	}
+	if c.phase == callDispatched || c.phase == callReplied {
+		return nil
+	}
+	if s.Phase != Free && s.Digest != c.claim.Digest {
+		return c.reply(Reply{Answer: AnswerNotRun, AttemptNotRun: true, Code: CodeKeyReused})
+	}
+	switch s.Phase {
+	case Free:
+		return c.free()
+	case Owned:
+		c.phase = callWaiting
+	case Ran:
+		return c.reply(Reply{Answer: AnswerDone, AttemptNotRun: true, Response: s.Response})
+	case Lost:
+		return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeOutcomeUnknown})
+	}
+	return nil
+}
+
+// free claims the key at the start. When another owner released the key, this
+// claim has lost already, and the caller comes back with a new attempt.
+func (c *Call) free() []Action {
+	switch {
+	case c.phase == callNew:
+		c.phase = callClaiming
+		c.outstanding = true
+		return []Action{Append{Entry: c.claim}}
+	case !c.outstanding || c.phase == callWaiting:
+		return c.notRun(CodeInProgress)
+	}
+	return nil
+}
+
+// owner is called when the ledger says that this claim owns the key.
+func (c *Call) owner(now time.Time, s State) []Action {
+	c.outstanding = false
+	if s.Phase != Owned || c.phase == callDispatched {
+		return nil
+	}
+	if c.phase == callReplied {
+		return c.release()
+	}
+	if !now.Before(c.claimBy) {
+		return append(c.notRun(CodeLogUnavailable), c.release()...)
+	}
+	return c.dispatch()
+}
+
+func (c *Call) dispatch() []Action {
+	if err := invariant.Check(c.phase != callReplied && !c.released, invariant.TruthfulNotRun,
+		"key %s dispatched after its caller was answered or it was released", c.claim.Key.UUID); err != nil {
+		return nil
+	}
+	if err := invariant.Check(!c.written || c.honoursKeys, invariant.SingleDispatch,
+		"key %s dispatched again after something was written", c.claim.Key.UUID); err != nil {
+		return nil
+	}
+	c.phase = callDispatched
+	c.dispatches++
+	return []Action{Dispatch{}}
+}
+
+func (c *Call) claimRefused(e ClaimRefused) []Action {
+	c.outstanding = false
+	if c.phase != callClaiming {
+		return nil
+	}
+	return c.unclaimed(e.Fresh, e.RetryAfter)
+}
+
+// unclaimed gives up without a claim. Only a fresh ledger tells that no
+// earlier attempt under the key owns it.
+func (c *Call) unclaimed(fresh bool, retryAfter time.Duration) []Action {
+	answer := AnswerUnknown
+	if fresh {
+		answer = AnswerNotRun
+	}
+	return c.reply(Reply{
+		Answer: answer, AttemptNotRun: true, Code: CodeLogUnavailable,
+		RetryAfter: max(retryAfter, releaseRetryAfter),
+	})
+}
+
+func (c *Call) notRun(code Code) []Action {
+	return c.reply(Reply{Answer: AnswerNotRun, AttemptNotRun: true, Code: code, RetryAfter: releaseRetryAfter})
+}
+
+func (c *Call) release() []Action {
+	if c.released || c.written {
+		return nil
+	}
+	c.released = true
+	return []Action{Append{Entry: Release{Key: c.claim.Key, ID: c.claim.ID}}}
+}
+
+func (c *Call) notWritten() []Action {
+	if c.phase != callDispatched {
+		return nil
+	}
+	if c.dispatches < maxDispatches {
+		return c.dispatch()
+	}
+	if c.written {
+		return c.unknown()
+	}
+	return append(c.notRun(CodeNoBackend), c.release()...)
+}
+
+func (c *Call) responseLost(now time.Time) []Action {
+	if c.phase != callDispatched {
+		return nil
+	}
+	c.written = true
+	if c.honoursKeys && c.dispatches < maxDispatches && now.Before(c.answerBy) {
+		return c.dispatch()
+	}
+	return c.unknown()
+}
+
+func (c *Call) unknown() []Action {
+	outcome := Outcome{Key: c.claim.Key, ID: c.claim.ID, Result: Unknown}
+	return append(c.reply(Reply{Answer: AnswerUnknown, Code: CodeOutcomeUnknown}), Append{Entry: outcome})
+}
+
+func (c *Call) answered(response Response) []Action {
+	if c.phase != callDispatched {
+		return nil
+	}
+	c.written = true
+	outcome := Outcome{Key: c.claim.Key, ID: c.claim.ID, Result: Done, Response: response}
+	return append(c.reply(Reply{Answer: AnswerDone, Response: response}), Append{Entry: outcome})
+}
+
+func (c *Call) tick(now time.Time, fresh bool) []Action {
+	switch c.phase {
+	case callClaiming:
+		if !now.Before(c.claimBy) {
+			return c.unclaimed(fresh, releaseRetryAfter)
+		}
+	case callWaiting:
+		if !now.Before(c.answerBy) {
+			return c.reply(Reply{
+				Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeInProgress, RetryAfter: releaseRetryAfter,
+			})
+		}
+	}
+	return nil
+}
+
+func (c *Call) reply(r Reply) []Action {
+	c.phase = callReplied
+	return []Action{r}
+}
--- /dev/null
+++ b/internal/logservice/claim/local.go
@@ -0,0 +1,57 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/logservice"
+)
+
+// LocalJournal is the journal of keys that are bound to this incarnation. No
+// other instance ever dispatches such a key, so its ledger needs no log. It is
+// lost with the process.
+type LocalJournal struct {
+	mu      sync.Mutex
+	tracker *Tracker
+	next    logservice.Offset
+}
+
+// NewLocalTracker returns a tracker whose ledger lives in this process only.
+func NewLocalTracker() *Tracker {
+	journal := &LocalJournal{}
+	journal.tracker = NewTracker(journal, func(_ context.Context, t *Tracker) error {
+		now := time.Now()
+		t.Records(now, now, logservice.Page{})
+		return nil
+	})
+	return journal.tracker
+}
+
+// Claim implements Journal.
+func (j *LocalJournal) Claim(c Claim, done func(AppendResult)) {
+	done(ClaimAppended{Offset: j.take(c)})
+}
+
+// Record implements Journal.
+func (j *LocalJournal) Record(entry Entry) bool {
+	j.take(entry)
+	return true
+}
+
+func (j *LocalJournal) take(entry Entry) logservice.Offset {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	body, err := EncodeBatch([]Entry{entry})
+	if err != nil {
+		return -1
+	}
+	offset := j.next
+	j.next++
+	j.tracker.Records(now, now, logservice.Page{
+		Next:    j.next,
+		Records: []logservice.Record{{Offset: offset, Time: now, Body: body}},
+	})
+	return offset
+}
--- /dev/null
+++ b/internal/logservice/claim/tracker.go
@@ -0,0 +1,298 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/logservice"
+)
+
+const (
+	claimTimeout  = 2 * time.Second
+	tickInterval  = 50 * time.Millisecond
+	lingerTimeout = 2 * time.Minute
+	callEvents    = 16
+	expiryEvery   = time.Minute
+)
+
+// DispatchResult says how one dispatch ended.
+type DispatchResult interface {
+	isDispatchResult()
+}
+
+func (NotWritten) isDispatchResult()   {}
+func (ResponseLost) isDispatchResult() {}
+func (Answered) isDispatchResult()     {}
+
+// Dispatcher sends a call to a backend server. Each call of Dispatch goes to a
+// backend server that it did not try before, as far as there is one.
+type Dispatcher interface {
+	Dispatch(ctx context.Context) DispatchResult
+}
+
+// Journal takes the entries of calls. *Batcher is one.
+type Journal interface {
+	Claim(c Claim, done func(AppendResult))
+	Record(entry Entry) bool
+}
+
+// Request asks for a call to run at most once.
+type Request struct {
+	Claim       Claim
+	HonoursKeys bool
+	// Timeout bounds the wait for another owner of the key.
+	Timeout    time.Duration
+	Dispatcher Dispatcher
+}
+
+// Tracker follows the stream and runs calls against its ledger.
+type Tracker struct {
+	journal Journal
+	refresh func(ctx context.Context) error
+
+	mu      sync.Mutex
+	ledger  *Ledger
+	fresh   time.Time
+	expired time.Time
+	runs    map[Key]map[*run]struct{}
+}
+
+// run is one call under way.
+type run struct {
+	events chan Event
+	// offset is where the claim was appended, -1 while unknown.
+	offset logservice.Offset
+}
+
+// NewTracker returns a tracker that appends through journal. refresh reads the
+// stream to its end once.
+func NewTracker(journal Journal, refresh func(ctx context.Context, t *Tracker) error) *Tracker {
+	t := &Tracker{journal: journal, ledger: NewLedger(), runs: map[Key]map[*run]struct{}{}}
+	t.refresh = func(ctx context.Context) error { return refresh(ctx, t) }
+	return t
+}
+
+// Next implements logservice.Follower.
+func (t *Tracker) Next() logservice.Offset {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Next()
+}
+
+// Records implements logservice.Follower.
+func (t *Tracker) Records(asked, now time.Time, page logservice.Page) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, record := range page.Records {
+		t.apply(record)
+	}
+	if t.ledger.Next() >= page.Next && asked.After(t.fresh) {
+		t.fresh = asked
+	}
+	if now.Sub(t.expired) >= expiryEvery {
+		t.expired = now
+		t.ledger.Expire(now)
+	}
+}
+
+// Trimmed implements logservice.Follower.
+func (t *Tracker) Trimmed(_ time.Time, first logservice.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Trimmed(first)
+}
+
+// Failed implements logservice.Follower.
+func (t *Tracker) Failed(time.Time, error) {}
+
+// Fresh returns when the stream was last known to be read to its end.
+func (t *Tracker) Fresh() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh
+}
+
+// Len returns the number of keys held.
+func (t *Tracker) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Len()
+}
+
+// State returns what is known about a key, and whether an absent key is known
+// to be free.
+func (t *Tracker) State(key Key) (state State, covered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	made, ok := key.Time()
+	return t.ledger.State(key), ok && t.ledger.Covers(made)
+}
+
+// Look returns what is known about a key after reading the stream to its end.
+// certain is false when that failed, or when a free key may have been
+// forgotten.
+func (t *Tracker) Look(ctx context.Context, key Key, now time.Time) (state State, certain bool) {
+	_ = t.refresh(ctx)
+	state, covered := t.State(key)
+	return state, covered && t.Fresh().After(now)
+}
+
+// apply takes a record and tells the calls that it concerns.
+func (t *Tracker) apply(record logservice.Record) {
+	changed, err := t.ledger.Apply(record)
+	if err != nil {
+		return
+	}
+	for _, key := range changed {
+		for r := range t.runs[key] {
+			r.push(KeyState{State: t.ledger.State(key)})
+		}
+	}
+	for key, runs := range t.runs {
+		for r := range runs {
+			if r.offset == record.Offset {
+				r.push(ClaimRead{State: t.ledger.State(key)})
+			}
+		}
+	}
+}
+
+// push never blocks the reader of the log. A call that misses an event looks
+// at the ledger again at its next tick.
+func (r *run) push(event Event) {
+	select {
+	case r.events <- event:
+	default:
+	}
+}
+
+// Run runs a call at most once and returns what to tell its caller. The call
+// goes on to its end also when ctx ends.
+func (t *Tracker) Run(ctx context.Context, request Request) Reply {
+	replies := make(chan Reply, 1)
+	d := &callDriver{
+		tracker: t, request: request, began: time.Now(),
+		run:     &run{events: make(chan Event, callEvents), offset: -1},
+		replies: replies,
+	}
+	d.call = NewCall(CallConfig{
+		Claim: request.Claim, HonoursKeys: request.HonoursKeys,
+		ClaimBy: d.began.Add(claimTimeout), AnswerBy: d.began.Add(request.Timeout),
+	})
+	go d.drive(context.WithoutCancel(ctx))
+	return <-replies
+}
+
+func (t *Tracker) join(key Key, r *run) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.runs[key] == nil {
+		t.runs[key] = map[*run]struct{}{}
+	}
+	t.runs[key][r] = struct{}{}
+	return t.ledger.State(key)
+}
+
+func (t *Tracker) leave(key Key, r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.runs[key], r)
+	if len(t.runs[key]) == 0 {
+		delete(t.runs, key)
+	}
+}
+
+// callDriver carries out the actions of one call.
+type callDriver struct {
+	tracker *Tracker
+	request Request
+	call    *Call
+	run     *run
+	began   time.Time
+	replies chan Reply
+}
+
+func (d *callDriver) drive(ctx context.Context) {
+	key := d.request.Claim.Key
+	state := d.tracker.join(key, d.run)
+	defer d.tracker.leave(key, d.run)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	d.execute(ctx, d.call.Step(time.Now(), KeyState{State: state}))
+	for !d.call.Ended() {
+		var event Event
+		select {
+		case event = <-d.run.events:
+		case now := <-ticker.C:
+			if now.Sub(d.began) > lingerTimeout+d.request.Timeout {
+				return
+			}
+			event = d.tick()
+		}
+		d.execute(ctx, d.call.Step(time.Now(), event))
+	}
+}
+
+// tick looks at the ledger, so that an event that was missed is made up for.
+func (d *callDriver) tick() Event {
+	t := d.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.ledger.State(d.request.Claim.Key)
+	if d.run.offset >= 0 && t.ledger.Next() > d.run.offset {
+		d.run.push(ClaimRead{State: state})
+	} else {
+		d.run.push(KeyState{State: state})
+	}
+	return Tick{Fresh: t.fresh.After(d.began)}
+}
+
+func (d *callDriver) execute(ctx context.Context, actions []Action) {
+	for len(actions) > 0 {
+		action := actions[0]
+		actions = actions[1:]
+		switch a := action.(type) {
+		case Append:
+			d.append(ctx, a.Entry)
+		case Dispatch:
+			result := d.request.Dispatcher.Dispatch(ctx)
+			actions = append(actions, d.call.Step(time.Now(), result.(Event))...)
+		case Reply:
+			d.replies <- a
+		}
+	}
+}
+
+func (d *callDriver) append(ctx context.Context, entry Entry) {
+	claim, ok := entry.(Claim)
+	if !ok {
+		d.tracker.journal.Record(entry)
+		return
+	}
+	d.tracker.journal.Claim(claim, func(result AppendResult) { d.appended(ctx, result) })
+}
+
+func (d *callDriver) appended(ctx context.Context, result AppendResult) {
+	switch r := result.(type) {
+	case ClaimAppended:
+		d.tracker.appended(d, r.Offset)
+	case ClaimNotAppended:
+		go func() {
+			_ = d.tracker.refresh(ctx)
+			fresh := d.tracker.Fresh().After(d.began)
+			d.run.push(ClaimRefused{RetryAfter: r.RetryAfter, Fresh: fresh})
+		}()
+	case ClaimMayAppear:
+	}
+}
+
+// appended notes where the claim stands; the ledger may have read it already.
+func (t *Tracker) appended(d *callDriver, offset logservice.Offset) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d.run.offset = offset
+	if t.ledger.Next() > offset {
+		d.run.push(ClaimRead{State: t.ledger.State(d.request.Claim.Key)})
+	}
+}
--- /dev/null
+++ b/internal/logservice/document/keeper.go
@@ -0,0 +1,367 @@
+package document
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	publishTimeout    = 8 * time.Second
+	publishTick       = 50 * time.Millisecond
+	checkpointCheck   = 5 * time.Second
+	verdictQueue      = 16
+	checkpointStagger = 10 * time.Second
+)
+
+// Appender appends to the log. *logservice.Client is one.
+type Appender interface {
+	Append(ctx context.Context, stream logservice.StreamName, body []byte) (logservice.Offset, error)
+}
+
+// ConflictError says that another publication came first.
+type ConflictError struct {
+	Reason Reason
+	Winner Entry
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("refused (%s): version %d is in force", e.Reason, e.Winner.Version)
+}
+
+// NoVerdictError says that a publication got no verdict in time.
+type NoVerdictError struct {
+	// MayTakeEffect says that it may still come into force.
+	MayTakeEffect bool
+}
+
+func (e *NoVerdictError) Error() string {
+	if e.MayTakeEffect {
+		return "no verdict in time; the document may still come into force"
+	}
+	return "the log took nothing; the document is not in force"
+}
+
+// NotWholeError says that this instance has missed records and can't judge.
+type NotWholeError struct{}
+
+func (e *NotWholeError) Error() string {
+	return "this instance has not read the documents' stream whole"
+}
+
+// Config is what a keeper works with.
+type Config struct {
+	Appender Appender
+	// CheckpointEvery is the age of the newest checkpoint at which another one
+	// is appended. It must be well below the log's retention.
+	CheckpointEvery time.Duration
+	// Accepted is called for each entry that comes into force, in order.
+	Accepted func(Entry)
+	// Advanced is called after the state took more records.
+	Advanced func(asOf logservice.Offset)
+	Logger   *zap.Logger
+}
+
+// Keeper follows the stream, publishes, and writes checkpoints.
+type Keeper struct {
+	config Config
+
+	mu       sync.Mutex
+	fold     *Fold
+	loaded   bool
+	readAt   time.Time
+	waiting  map[chan Verdict]struct{}
+	rank     int
+	sinceLog time.Time
+}
+
+// NewKeeper returns a keeper with nothing in force.
+func NewKeeper(config Config) *Keeper {
+	return &Keeper{config: config, fold: NewFold(), waiting: map[chan Verdict]struct{}{}}
+}
+
+// Next implements logservice.Follower.
+func (k *Keeper) Next() logservice.Offset {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.Next()
+}
+
+// Records implements logservice.Follower.
+func (k *Keeper) Records(_, now time.Time, page logservice.Page) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, record := range page.Records {
+		verdicts, err := k.fold.Apply(record)
+		if err != nil {
+			k.config.Logger.Error("document record refused", zap.Int64("offset", int64(record.Offset)), zap.Error(err))
+			return
+		}
+		k.tell(verdicts)
+	}
+	k.readAt = now
+	if k.fold.Whole() && k.fold.Next() >= page.Next {
+		k.loaded = true
+	}
+	if len(page.Records) > 0 {
+		k.config.Advanced(k.fold.Next() - 1)
+	}
+}
+
+// Trimmed implements logservice.Follower.
+func (k *Keeper) Trimmed(_ time.Time, first logservice.Offset) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.config.Logger.Warn("documents' stream was trimmed beyond what was read", zap.Int64("first", int64(first)))
+	k.fold.Trimmed(first)
+}
+
+// Failed implements logservice.Follower.
+func (k *Keeper) Failed(_ time.Time, err error) {
+	k.config.Logger.Debug("documents' stream unavailable", zap.Error(err))
+}
+
+// tell hands verdicts to those who wait, and what came into force to the
+// instance.
+func (k *Keeper) tell(verdicts []Verdict) {
+	for _, verdict := range verdicts {
+		switch v := verdict.(type) {
+		case Accepted:
+			k.config.Accepted(v.Entry)
+		case Restored:
+			for _, e := range k.fold.Entries() {
+				k.config.Accepted(e)
+			}
+		case Refused:
+		}
+		for c := range k.waiting {
+			select {
+			case c <- verdict:
+			default:
+			}
+		}
+	}
+}
+
+// Loaded reports whether the state was whole and at the end of the log, or of
+// a peer's state, at least once.
+func (k *Keeper) Loaded() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.loaded
+}
+
+// ReadAt returns when the log was last read.
+func (k *Keeper) ReadAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readAt
+}
+
+// AsOf returns the offset of the last record in the state, and whether the
+// state is whole.
+func (k *Keeper) AsOf() (logservice.Offset, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.Next() - 1, k.fold.Whole()
+}
+
+// Entries returns all that is in force.
+func (k *Keeper) Entries() []Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fold.Entries()
+}
+
+// Snapshot returns the state for a peer, and false while records are missing.
+func (k *Keeper) Snapshot() (Checkpoint, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.loaded {
+		return Checkpoint{}, false
+	}
+	return k.fold.Snapshot()
+}
+
+// Adopt takes a peer's snapshot if it is ahead of this state.
+func (k *Keeper) Adopt(c Checkpoint) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := map[Key]Version{}
+	for _, e := range k.fold.Entries() {
+		before[Key{e.Environment, e.Stage}] = e.Version
+	}
+	adopted, err := k.fold.Adopt(c)
+	if err != nil || !adopted {
+		return err
+	}
+	k.loaded = true
+	for _, e := range k.fold.Entries() {
+		if version, ok := before[Key{e.Environment, e.Stage}]; !ok || version != e.Version {
+			k.tell([]Verdict{Accepted{Entry: e}})
+		}
+	}
+	k.config.Advanced(k.fold.Next() - 1)
+	return nil
+}
+
+// Publish asks for a document to replace base, and waits for the verdict. A
+// base of nil stands for the version in force now. The error is a
+// *ConflictError, *NoVerdictError or *NotWholeError.
+func (k *Keeper) Publish(ctx context.Context, id PublishID, stage environment.Stage, name environment.Name, base *Version, body []byte) (Entry, error) {
+	publication, err := k.prepare(id, stage, name, base, body)
+	if err != nil {
+		return Entry{}, err
+	}
+	verdicts := make(chan Verdict, verdictQueue)
+	k.mu.Lock()
+	k.waiting[verdicts] = struct{}{}
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.waiting, verdicts)
+	}()
+	return k.drive(ctx, NewPublisher(publication, time.Now().Add(publishTimeout)), verdicts)
+}
+
+// prepare builds the record, and refuses at once what this state already shows
+// to be lost.
+func (k *Keeper) prepare(id PublishID, stage environment.Stage, name environment.Name, base *Version, body []byte) (Publication, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.fold.Whole() || !k.loaded {
+		return Publication{}, &NotWholeError{}
+	}
+	current := k.fold.Entry(Key{name, stage})
+	p := Publication{
+		Environment: name, Stage: stage, Base: current.Version,
+		Digest: environment.DigestOf(body), ID: id, Body: body, Promotes: NoVersion,
+	}
+	if base != nil {
+		p.Base = *base
+	}
+	if p.Base != current.Version {
+		return Publication{}, &ConflictError{Reason: StaleBase, Winner: current}
+	}
+	if stage == environment.Production {
+		p.Promotes = k.fold.TriedAs(name, p.Digest)
+		if p.Promotes == NoVersion {
+			return Publication{}, &ConflictError{Reason: NotTried, Winner: k.fold.Entry(Key{name, environment.Trial})}
+		}
+	}
+	return p, nil
+}
+
+func (k *Keeper) drive(ctx context.Context, publisher *Publisher, verdicts <-chan Verdict) (Entry, error) {
+	appends := make(chan PublisherEvent, 1)
+	ticker := time.NewTicker(publishTick)
+	defer ticker.Stop()
+	actions := publisher.Start()
+	for {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case AppendPublication:
+				go func() { appends <- k.append(ctx, a.Publication) }()
+			case PublishDone:
+				return outcome(a.Verdict)
+			case PublishGivenUp:
+				return Entry{}, &NoVerdictError{MayTakeEffect: a.MayTakeEffect}
+			}
+		}
+		select {
+		case event := <-appends:
+			actions = publisher.Step(time.Now(), event)
+		case verdict := <-verdicts:
+			actions = publisher.Step(time.Now(), PublishVerdict{Verdict: verdict})
+		case now := <-ticker.C:
+			actions = publisher.Step(now, PublishTick{})
+		}
+	}
+}
+
+func outcome(verdict Verdict) (Entry, error) {
+	switch v := verdict.(type) {
+	case Accepted:
+		return v.Entry, nil
+	case Refused:
+		return Entry{}, &ConflictError{Reason: v.Reason, Winner: v.Winner}
+	}
+	return Entry{}, &NoVerdictError{MayTakeEffect: true}
+}
+
+func (k *Keeper) append(ctx context.Context, p Publication) PublisherEvent {
+	body, err := EncodeRecord(p)
+	if err != nil {
+		return PublishRefused{}
+	}
+	_, err = k.config.Appender.Append(context.WithoutCancel(ctx), Stream, body)
+	var refused *logservice.RefusedError
+	switch {
+	case err == nil:
+		return PublishAppended{}
+	case errors.As(err, &refused):
+		return PublishRefused{}
+	}
+	return PublishUncertain{}
+}
+
+// SetRank tells the keeper how many live instances come before it in the order
+// of writing checkpoints.
+func (k *Keeper) SetRank(rank int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rank = rank
+}
+
+// Run writes checkpoints until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkpointCheck)
+	defer ticker.Stop()
+	k.mu.Lock()
+	k.sinceLog = time.Now()
+	k.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if c, due := k.checkpointDue(now); due {
+				k.writeCheckpoint(ctx, c)
+			}
+		}
+	}
+}
+
+// checkpointDue reports whether this instance should append a checkpoint. Two
+// instances that do so at once do no harm.
+func (k *Keeper) checkpointDue(now time.Time) (Checkpoint, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	last := k.fold.LastCheckpoint()
+	if last.IsZero() {
+		last = k.sinceLog
+	}
+	due := last.Add(k.config.CheckpointEvery + time.Duration(k.rank)*checkpointStagger)
+	if !k.loaded || len(k.fold.entries) == 0 || now.Before(due) {
+		return Checkpoint{}, false
+	}
+	return k.fold.Snapshot()
+}
+
+func (k *Keeper) writeCheckpoint(ctx context.Context, c Checkpoint) {
+	body, err := EncodeRecord(c)
+	if err == nil {
+		_, err = k.config.Appender.Append(ctx, Stream, body)
+	}
+	if err != nil {
+		k.config.Logger.Warn("checkpoint not appended", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/logservice/logservice.go
@@ -0,0 +1,232 @@
+// Package logservice is the client of the platform's log service. Below it
+// stands one package for each duty that keeps its state on the log: document,
+// claim and lease.
+//
+// Usage: append a record with Client.Append and follow a stream with Tail:
+//
+//	offset, err := client.Append(ctx, "claims", body)
+//	var uncertain *logservice.UncertainError
+//	if errors.As(err, &uncertain) {
+//		// The record may be on the log now, later or never.
+//	}
+package logservice
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+const (
+	appendTimeout = 3 * time.Second
+	readSlack     = 2 * time.Second
+	maxPageBytes  = 64 << 20
+)
+
+// Offset is the place of a record in its stream, from 0.
+type Offset int64
+
+// StreamName names a stream of the log.
+type StreamName string
+
+// Record is one entry of a stream.
+type Record struct {
+	Offset Offset
+	// Time is when the log service took the record, by its clock.
+	Time time.Time
+	Body []byte
+}
+
+// Page is a run of consecutive records.
+type Page struct {
+	// First is the oldest offset that the stream still keeps.
+	First Offset
+	// Next is the offset that the next append will get.
+	Next    Offset
+	Records []Record
+}
+
+// RefusedError says that an append did not take effect and never will.
+type RefusedError struct {
+	Stream     StreamName
+	RetryAfter time.Duration
+	Cause      error
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("append to %s refused: %v", e.Stream, e.Cause)
+}
+
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// UncertainError says that an append may have taken effect or may still.
+type UncertainError struct {
+	Stream StreamName
+	Cause  error
+}
+
+func (e *UncertainError) Error() string {
+	return fmt.Sprintf("append to %s has no answer: %v", e.Stream, e.Cause)
+}
+
+func (e *UncertainError) Unwrap() error { return e.Cause }
+
+// UnavailableError says that a read failed.
+type UnavailableError struct {
+	Stream StreamName
+	Cause  error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("read of %s failed: %v", e.Stream, e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// TrimmedError says that the stream no longer keeps the offset asked for.
+type TrimmedError struct {
+	Stream StreamName
+	First  Offset
+}
+
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("stream %s now starts at offset %d", e.Stream, e.First)
+}
+
+// StatusError carries an unexpected HTTP status of the log service.
+type StatusError struct {
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("log service answered %d", e.Status)
+}
+
+// Client speaks to one log service.
+type Client struct {
+	base      string
+	userAgent string
+	http      *http.Client
+}
+
+// NewClient returns a client of the log service at address, HOST:PORT.
+// The service sees callerID in the User-Agent.
+func NewClient(address, callerID string) *Client {
+	return &Client{
+		base:      "http://" + address + "/streams/",
+		userAgent: "mulberryhead/" + callerID,
+		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}},
+	}
+}
+
+type wireRecord struct {
+	Offset int64  `json:"offset"`
+	Millis int64  `json:"time-millis"`
+	Body   []byte `json:"body"`
+}
+
+type wirePage struct {
+	First   int64        `json:"first"`
+	Next    int64        `json:"next"`
+	Records []wireRecord `json:"records"`
+}
+
+// Append adds a record. The error is a *RefusedError or an *UncertainError.
+func (c *Client) Append(ctx context.Context, stream StreamName, body []byte) (Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	url := c.base + string(stream) + "/records"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, &RefusedError{Stream: stream, Cause: err}
+	}
+	request.Header.Set("User-Agent", c.userAgent)
+	// A repeated append could take effect twice without our knowing, so the
+	// transport must not repeat it on its own.
+	request.GetBody = nil
+	response, err := c.http.Do(request)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return 0, &RefusedError{Stream: stream, Cause: err}
+		}
+		return 0, &UncertainError{Stream: stream, Cause: err}
+	}
+	defer drain(response.Body)
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestEntityTooLarge:
+		return 0, &RefusedError{Stream: stream, RetryAfter: retryAfter(response), Cause: &StatusError{Status: response.StatusCode}}
+	default:
+		return 0, &UncertainError{Stream: stream, Cause: &StatusError{Status: response.StatusCode}}
+	}
+	var record wireRecord
+	if err := json.NewDecoder(response.Body).Decode(&record); err != nil {
+		return 0, &UncertainError{Stream: stream, Cause: err}
+	}
+	return Offset(record.Offset), nil
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil {
+		return time.Second
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// Read returns the records from an offset on. When there are none it waits for
+// some, up to wait. The error is a *TrimmedError or an *UnavailableError.
+func (c *Client) Read(ctx context.Context, stream StreamName, from Offset, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	defer cancel()
+	url := fmt.Sprintf("%s%s/records?from=%d&wait-millis=%d", c.base, stream, from, wait.Milliseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Page{}, &UnavailableError{Stream: stream, Cause: err}
+	}
+	request.Header.Set("User-Agent", c.userAgent)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Page{}, &UnavailableError{Stream: stream, Cause: err}
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
+		return Page{}, &UnavailableError{Stream: stream, Cause: &StatusError{Status: response.StatusCode}}
+	}
+	var wire wirePage
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPageBytes)).Decode(&wire); err != nil {
+		return Page{}, &UnavailableError{Stream: stream, Cause: err}
+	}
+	if response.StatusCode == http.StatusGone {
+		return Page{}, &TrimmedError{Stream: stream, First: Offset(wire.First)}
+	}
+	return pageFromWire(wire), nil
+}
+
+func pageFromWire(wire wirePage) Page {
+	page := Page{First: Offset(wire.First), Next: Offset(wire.Next)}
+	for _, r := range wire.Records {
+		page.Records = append(page.Records, Record{Offset: Offset(r.Offset), Time: time.UnixMilli(r.Millis), Body: r.Body})
+	}
+	return page
+}
+
+func drain(body io.ReadCloser) {
+	const enough = 1 << 16
+	_, _ = io.CopyN(io.Discard, body, enough)
+	_ = body.Close()
+}
+
+// IsTimeout reports whether an error is a network timeout.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/operator/api.go
@@ -0,0 +1,250 @@
+// Package operator serves and speaks the administration API: publishing and
+// promoting documents, and the state of an instance.
+//
+// Usage: serve NewServer(config).Handler on the operators' address; the
+// commands use a Client of any entry instance:
+//
+//	client := operator.NewClient("127.0.0.1:8081", token)
+//	result, err := client.Publish(ctx, operator.Publication{...})
+package operator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const maxDocumentBytes = 2 << 20
+
+// DocumentState is what is in force in one stage of one environment.
+type DocumentState struct {
+	Environment environment.Name
+	Stage       environment.Stage
+	Version     document.Version
+	Digest      environment.Digest
+	// Applied is false when this build could not read the document and serves
+	// the last one that it could.
+	Applied bool
+}
+
+// PeerState is one linked entry instance.
+type PeerState struct {
+	Instance string
+	Zone     string
+}
+
+// RunnerState is one runner as this instance sees it.
+type RunnerState struct {
+	Runner  string
+	Zone    string
+	Model   string
+	Version string
+	Layers  string
+	Leaving bool
+	Queued  int
+}
+
+// Status is the state of one entry instance.
+type Status struct {
+	Instance    string
+	Zone        string
+	Incarnation string
+	Ready       bool
+	// LogAgeMillis is how long ago the documents' stream was last read, -1 if
+	// it never was.
+	LogAgeMillis int64
+	AsOf         int64
+	Documents    []DocumentState
+	Peers        []PeerState
+	Runners      []RunnerState
+	Keys         int
+	Fence        int64
+}
+
+// Config is what a server works with.
+type Config struct {
+	Keeper    *document.Keeper
+	TokenHash environment.KeyHash
+	Status    func() Status
+	Metrics   http.Handler
+	Logger    *zap.Logger
+}
+
+// Server serves operators.
+type Server struct {
+	config Config
+}
+
+// NewServer returns a server.
+func NewServer(config Config) *Server {
+	return &Server{config: config}
+}
+
+// Handler serves the administration API.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", s.config.Metrics).Methods(http.MethodGet)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	r.HandleFunc("/readyz", s.ready)
+	admin := r.PathPrefix("/admin/v1").Subrouter()
+	admin.Use(s.authenticate)
+	admin.HandleFunc("/status", s.status).Methods(http.MethodGet)
+	admin.HandleFunc("/environments/{environment}/{stage}", s.publish).Methods(http.MethodPost)
+	admin.HandleFunc("/environments/{environment}/{stage}", s.read).Methods(http.MethodGet)
+	admin.HandleFunc("/environments/{environment}/promote", s.promote).Methods(http.MethodPut)
+	return r
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.config.Status().Ready {
+		writeJSON(w, http.StatusServiceUnavailable, "not ready")
+		return
+	}
+	writeJSON(w, http.StatusOK, "ready")
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || environment.HashKey(token) != s.config.TokenHash {
+			writeProblem(w, http.StatusUnauthorized, wireProblem{Code: "unauthorized", Detail: "send Authorization: Bearer TOKEN"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, statusToWire(s.config.Status()))
+}
+
+func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
+	stage := environment.Stage(mux.Vars(r)["stage"])
+	if stage != environment.Trial {
+		writeProblem(w, http.StatusBadRequest, wireProblem{Code: "wrong-stage", Detail: "publish to trial, then promote"})
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	if err != nil {
+		writeProblem(w, http.StatusRequestEntityTooLarge, wireProblem{Code: "document-too-large", Detail: "the document is over 2 MiB"})
+		return
+	}
+	name := environment.Name(mux.Vars(r)["environment"])
+	doc, err := environment.Parse("document", body)
+	if err != nil {
+		writeProblem(w, http.StatusUnprocessableEntity, wireProblem{Code: "document-invalid", Detail: err.Error()})
+		return
+	}
+	if doc.Environment != name {
+		detail := fmt.Sprintf("the document describes %q", doc.Environment)
+		writeProblem(w, http.StatusUnprocessableEntity, wireProblem{Code: "document-invalid", Detail: detail})
+		return
+	}
+	s.decide(w, r, environment.Trial, name, body)
+}
+
+// promote puts the document that is in force in trial into production.
+func (s *Server) promote(w http.ResponseWriter, r *http.Request) {
+	name := environment.Name(mux.Vars(r)["environment"])
+	for _, e := range s.config.Keeper.Entries() {
+		if e.Environment == name && e.Stage == environment.Trial {
+			s.decide(w, r, environment.Production, name, e.Body)
+			return
+		}
+	}
+	writeProblem(w, http.StatusNotFound, wireProblem{Code: "not-tried", Detail: "the environment has no document in trial"})
+}
+
+// decide publishes and answers with the verdict.
+func (s *Server) decide(w http.ResponseWriter, r *http.Request, stage environment.Stage, name environment.Name, body []byte) {
+	id, base, err := publishOptions(r)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, wireProblem{Code: "malformed-request", Detail: err.Error()})
+		return
+	}
+	entry, err := s.config.Keeper.Publish(r.Context(), id, stage, name, base, body)
+	if err != nil {
+		writeDecisionProblem(w, err)
+		return
+	}
+	s.config.Logger.Info("document accepted", zap.String("environment", string(name)),
+		zap.String("stage", string(stage)), zap.Int64("version", int64(entry.Version)))
+	writeJSON(w, http.StatusOK, entryToWire(entry))
+}
+
+// publishOptions reads the publish id, which makes repeats harmless, and the
+// version that the operator means to replace.
+func publishOptions(r *http.Request) (document.PublishID, *document.Version, error) {
+	id := uuid.New()
+	query := r.URL.Query()
+	if text := query.Get("publish-id"); text != "" {
+		parsed, err := uuid.Parse(text)
+		if err != nil {
+			return id, nil, fmt.Errorf("publish-id: %w", err)
+		}
+		id = parsed
+	}
+	if !query.Has("base") {
+		return id, nil, nil
+	}
+	var base document.Version
+	if _, err := fmt.Sscan(query.Get("base"), &base); err != nil {
+		return id, nil, fmt.Errorf("base: %w", err)
+	}
+	return id, &base, nil
+}
+
+func writeDecisionProblem(w http.ResponseWriter, err error) {
+	var conflict *document.ConflictError
+	var noVerdict *document.NoVerdictError
+	var notWhole *document.NotWholeError
+	switch {
+	case errors.As(err, &conflict):
+		winner := entryToWire(conflict.Winner)
+		writeProblem(w, http.StatusConflict, wireProblem{Code: string(conflict.Reason), Detail: err.Error(), Winner: &winner})
+	case errors.As(err, &noVerdict) && noVerdict.MayTakeEffect:
+		writeProblem(w, http.StatusGatewayTimeout, wireProblem{Code: "no-verdict", Detail: err.Error()})
+	case errors.As(err, &noVerdict):
+		writeProblem(w, http.StatusServiceUnavailable, wireProblem{Code: "log-unavailable", Detail: err.Error()})
+	case errors.As(err, &notWhole):
+		writeProblem(w, http.StatusServiceUnavailable, wireProblem{Code: "not-ready", Detail: err.Error()})
+	default:
+		writeProblem(w, http.StatusInternalServerError, wireProblem{Code: "internal", Detail: err.Error()})
+	}
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	for _, e := range s.config.Keeper.Entries() {
+		if string(e.Environment) == vars["environment"] && string(e.Stage) == vars["stage"] {
+			w.Header().Set("Content-Type", "application/toml")
+			w.Header().Set("Mulberryhead-Version", fmt.Sprint(int64(e.Version)))
+			_, _ = w.Write(e.Body)
+			return
+		}
+	}
+	writeProblem(w, http.StatusNotFound, wireProblem{Code: "not-found", Detail: "nothing is in force there"})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeProblem(w http.ResponseWriter, status int, p wireProblem) {
+	p.Type, p.Title, p.Status = "about:blank", http.StatusText(status), status
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	clientTimeout    = 15 * time.Second
+	maxResponseBytes = 16 << 20
+)
+
+// Client speaks to the administration API of one entry instance.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client of the instance at address, HOST:PORT.
+func NewClient(address, token string) *Client {
+	return &Client{base: "http://" + address + "/admin/v1", token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// APIError is a problem that the instance answered with.
+type APIError struct {
+	Status int
+	Code   string
+	Detail string
+	// Winner is the version in force when another operator came first.
+	Winner *Published
+}
+
+func (e *APIError) Error() string {
+	if e.Winner != nil {
+		return fmt.Sprintf("%s: version %d is in force (digest %.12s)", e.Code, e.Winner.Version, e.Winner.Digest)
+	}
+	return e.Code + ": " + e.Detail
+}
+
+// Published is an accepted document.
+type Published struct {
+	Environment environment.Name
+	Stage       environment.Stage
+	Version     document.Version
+	Digest      environment.Digest
+}
+
+// Publication asks for a document to come into force.
+type Publication struct {
+	Environment environment.Name
+	ID          document.PublishID
+	// Base is the version to replace, nil for the one in force.
+	Base *document.Version
+	Body []byte
+}
+
+func (p Publication) query() string {
+	values := url.Values{"publish-id": {p.ID.String()}}
+	if p.Base != nil {
+		values.Set("base", fmt.Sprint(int64(*p.Base)))
+	}
+	return values.Encode()
+}
+
+// Publish puts a document into trial. The error is an *APIError when the
+// instance answered.
+func (c *Client) Publish(ctx context.Context, p Publication) (Published, error) {
+	path := fmt.Sprintf("/environments/%s/%s?%s", url.PathEscape(string(p.Environment)), environment.Trial, p.query())
+	return c.decide(ctx, http.MethodPost, path, p.Body)
+}
+
+// Promote puts the document in trial into production. The body of p is not
+// used.
+func (c *Client) Promote(ctx context.Context, p Publication) (Published, error) {
+	path := fmt.Sprintf("/environments/%s/promote?%s", url.PathEscape(string(p.Environment)), p.query())
+	return c.decide(ctx, http.MethodPut, path, nil)
+}
+
+func (c *Client) decide(ctx context.Context, method, path string, body []byte) (Published, error) {
+	var wire wireEntry
+	if err := c.do(ctx, method, path, body, &wire); err != nil {
+		return Published{}, err
+	}
+	return publishedFromWire(&wire), nil
+}
+
+func publishedFromWire(w *wireEntry) Published {
+	return Published{
+		Environment: environment.Name(w.Environment), Stage: environment.Stage(w.Stage),
+		Version: document.Version(w.Version), Digest: environment.Digest(w.Digest),
+	}
+}
+
+// Status returns the state of the instance.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var wire wireStatus
+	if err := c.do(ctx, http.MethodGet, "/status", nil, &wire); err != nil {
+		return Status{}, err
+	}
+	return statusFromWire(&wire), nil
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, result any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("reach the instance: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return fmt.Errorf("read the answer: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return problemFromWire(response.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, result); err != nil {
+		return fmt.Errorf("read the answer: %w", err)
+	}
+	return nil
+}
+
+func problemFromWire(status int, data []byte) error {
+	var wire wireProblem
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return &APIError{Status: status, Code: "unexpected-answer", Detail: http.StatusText(status)}
+	}
+	problem := &APIError{Status: status, Code: wire.Code, Detail: wire.Detail}
+	if wire.Winner != nil {
+		winner := publishedFromWire(wire.Winner)
+		problem.Winner = &winner
+	}
+	return problem
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,265 @@
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+type wireHello struct {
+	Instance    string    `cbor:"1,keyasint"`
+	Incarnation uuid.UUID `cbor:"2,keyasint"`
+	Zone        string    `cbor:"3,keyasint"`
+	Region      string    `cbor:"4,keyasint"`
+}
+
+type wireInstance struct {
+	ID      string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+	Region  string `cbor:"3,keyasint"`
+	Address string `cbor:"4,keyasint"`
+	Leaving bool   `cbor:"5,keyasint,omitempty"`
+}
+
+type wireLoad struct {
+	Runner         string `cbor:"1,keyasint"`
+	Incarnation    string `cbor:"2,keyasint"`
+	Model          string `cbor:"3,keyasint"`
+	Version        string `cbor:"4,keyasint"`
+	Layers         int    `cbor:"5,keyasint"`
+	First          int    `cbor:"6,keyasint"`
+	End            int    `cbor:"7,keyasint"`
+	Leaving        bool   `cbor:"8,keyasint,omitempty"`
+	Loading        bool   `cbor:"9,keyasint,omitempty"`
+	Queued         int    `cbor:"10,keyasint,omitempty"`
+	BatchMicros    int64  `cbor:"11,keyasint"`
+	PositionMicros int64  `cbor:"12,keyasint"`
+	TripMicros     int64  `cbor:"13,keyasint"`
+	Fence          int64  `cbor:"14,keyasint"`
+	AgeMillis      int64  `cbor:"15,keyasint,omitempty"`
+}
+
+type wireCrash struct {
+	Request uint64 `cbor:"1,keyasint"`
+	Runner  string `cbor:"2,keyasint"`
+}
+
+type wireCall struct {
+	ID          uint64 `cbor:"1,keyasint"`
+	Method      string `cbor:"2,keyasint"`
+	Path        string `cbor:"3,keyasint"`
+	Query       string `cbor:"4,keyasint,omitempty"`
+	Stage       string `cbor:"5,keyasint,omitempty"`
+	ContentType string `cbor:"6,keyasint,omitempty"`
+	APIKey      string `cbor:"7,keyasint"`
+	Key         string `cbor:"8,keyasint"`
+	Body        []byte `cbor:"9,keyasint,omitempty"`
+}
+
+type wireAnswer struct {
+	ID          uint64 `cbor:"1,keyasint"`
+	Status      int    `cbor:"2,keyasint"`
+	ContentType string `cbor:"3,keyasint,omitempty"`
+	Outcome     string `cbor:"4,keyasint,omitempty"`
+	Attempt     string `cbor:"5,keyasint,omitempty"`
+	RetryAfter  string `cbor:"6,keyasint,omitempty"`
+	Body        []byte `cbor:"7,keyasint,omitempty"`
+}
+
+type wireMessage struct {
+	Hello           *wireHello         `cbor:"1,keyasint,omitempty"`
+	Beat            *bool              `cbor:"2,keyasint,omitempty"`
+	Members         []wireInstance     `cbor:"3,keyasint,omitempty"`
+	Documents       *int64             `cbor:"4,keyasint,omitempty"`
+	DocumentsWanted *int64             `cbor:"5,keyasint,omitempty"`
+	DocumentsState  []byte             `cbor:"6,keyasint,omitempty"`
+	Loads           []wireLoad         `cbor:"7,keyasint,omitempty"`
+	Demand          map[string]float64 `cbor:"8,keyasint,omitempty"`
+	Crash           *wireCrash         `cbor:"9,keyasint,omitempty"`
+	Call            *wireCall          `cbor:"10,keyasint,omitempty"`
+	Answer          *wireAnswer        `cbor:"11,keyasint,omitempty"`
+}
+
+// Encode returns the CBOR form of a message.
+func Encode(message Message) ([]byte, error) {
+	wire, err := messageToWire(message)
+	if err != nil {
+		return nil, err
+	}
+	data, err := cbor.Marshal(wire)
+	if err != nil {
+		return nil, fmt.Errorf("encode peer message: %w", err)
+	}
+	return data, nil
+}
+
+func messageToWire(message Message) (wireMessage, error) {
+	var wire wireMessage
+	switch m := message.(type) {
+	case Hello:
+		wire.Hello = &wireHello{Instance: string(m.Instance), Incarnation: m.Incarnation, Zone: string(m.Zone), Region: string(m.Region)}
+	case Beat:
+		wire.Beat = &m.Leaving
+	case Members:
+		wire.Members = membersToWire(m)
+	case Documents:
+		asOf := int64(m.AsOf)
+		wire.Documents = &asOf
+	case DocumentsWanted:
+		asOf := int64(m.AsOf)
+		wire.DocumentsWanted = &asOf
+	case DocumentsState:
+		state, err := document.EncodeRecord(m.Snapshot)
+		if err != nil {
+			return wire, err
+		}
+		wire.DocumentsState = state
+	case Loads:
+		for i := range m.Loads {
+			wire.Loads = append(wire.Loads, loadToWire(&m.Loads[i]))
+		}
+	case Demand:
+		wire.Demand = map[string]float64{}
+		for tenant, used := range m.Tenants {
+			wire.Demand[string(tenant)] = used
+		}
+	case CrashNotice:
+		wire.Crash = &wireCrash{Request: uint64(m.Request), Runner: m.Runner}
+	case ForwardCall:
+		wire.Call = &wireCall{
+			ID: uint64(m.ID), Method: m.Method, Path: m.Path, Query: m.Query, Stage: m.Stage,
+			ContentType: m.ContentType, APIKey: m.APIKey, Key: m.Key, Body: m.Body,
+		}
+	case ForwardAnswer:
+		wire.Answer = &wireAnswer{
+			ID: uint64(m.ID), Status: m.Status, ContentType: m.ContentType,
+			Outcome: m.Outcome, Attempt: m.Attempt, RetryAfter: m.RetryAfter, Body: m.Body,
+		}
+	}
+	return wire, nil
+}
+
+// Decode reads a message from its CBOR form. A message of a kind that this
+// build does not know gives nil.
+func Decode(data []byte) (Message, error) {
+	var wire wireMessage
+	if err := cbor.Unmarshal(data, &wire); err != nil {
+		return nil, fmt.Errorf("decode peer message: %w", err)
+	}
+	switch {
+	case wire.Hello != nil:
+		h := wire.Hello
+		return Hello{
+			Instance: instancelist.ID(h.Instance), Incarnation: h.Incarnation,
+			Zone: instancelist.AvailabilityZone(h.Zone), Region: instancelist.Region(h.Region),
+		}, nil
+	case wire.Beat != nil:
+		return Beat{Leaving: *wire.Beat}, nil
+	case wire.Members != nil:
+		return membersFromWire(wire.Members), nil
+	case wire.Documents != nil:
+		return Documents{AsOf: logservice.Offset(*wire.Documents)}, nil
+	case wire.DocumentsWanted != nil:
+		return DocumentsWanted{AsOf: logservice.Offset(*wire.DocumentsWanted)}, nil
+	case wire.DocumentsState != nil:
+		return stateFromWire(wire.DocumentsState)
+	case wire.Loads != nil:
+		return loadsFromWire(wire.Loads), nil
+	case wire.Demand != nil:
+		return demandFromWire(wire.Demand), nil
+	case wire.Crash != nil:
+		return CrashNotice{Request: engine.Fingerprint(wire.Crash.Request), Runner: wire.Crash.Runner}, nil
+	case wire.Call != nil:
+		c := wire.Call
+		return ForwardCall{
+			ID: RequestID(c.ID), Method: c.Method, Path: c.Path, Query: c.Query, Stage: c.Stage,
+			ContentType: c.ContentType, APIKey: c.APIKey, Key: c.Key, Body: c.Body,
+		}, nil
+	case wire.Answer != nil:
+		a := wire.Answer
+		return ForwardAnswer{
+			ID: RequestID(a.ID), Status: a.Status, ContentType: a.ContentType,
+			Outcome: a.Outcome, Attempt: a.Attempt, RetryAfter: a.RetryAfter, Body: a.Body,
+		}, nil
+	}
+	return nil, nil
+}
+
+func membersToWire(m Members) []wireInstance {
+	list := make([]wireInstance, 0, len(m.Instances))
+	for _, i := range m.Instances {
+		list = append(list, wireInstance{
+			ID: string(i.ID), Zone: string(i.Zone), Region: string(i.Region), Address: i.Address, Leaving: i.Leaving,
+		})
+	}
+	return list
+}
+
+func membersFromWire(wire []wireInstance) Members {
+	var m Members
+	for _, w := range wire {
+		m.Instances = append(m.Instances, instancelist.Instance{
+			ID: instancelist.ID(w.ID), Kind: instancelist.Entry, Zone: instancelist.AvailabilityZone(w.Zone),
+			Region: instancelist.Region(w.Region), Address: w.Address, Leaving: w.Leaving,
+		})
+	}
+	return m
+}
+
+func stateFromWire(data []byte) (Message, error) {
+	record, err := document.DecodeRecord(data)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, ok := record.(document.Checkpoint)
+	if !ok {
+		return nil, nil
+	}
+	return DocumentsState{Snapshot: snapshot}, nil
+}
+
+func demandFromWire(wire map[string]float64) Demand {
+	d := Demand{Tenants: map[environment.TenantName]float64{}}
+	for tenant, used := range wire {
+		d.Tenants[environment.TenantName(tenant)] = used
+	}
+	return d
+}
+
+func loadToWire(l *RunnerLoad) wireLoad {
+	r := &l.Report
+	return wireLoad{
+		Runner: string(l.Runner), Incarnation: r.Incarnation, Model: string(r.Model), Version: string(r.Version),
+		Layers: r.Layers, First: r.Range.First, End: r.Range.End, Leaving: r.Leaving, Loading: r.Loading, Queued: r.Queued,
+		BatchMicros: r.BatchCost.Microseconds(), PositionMicros: r.PositionCost.Microseconds(),
+		TripMicros: r.RoundTrip.Microseconds(), Fence: r.Fence, AgeMillis: l.AgeMillis,
+	}
+}
+
+func loadsFromWire(wire []wireLoad) Loads {
+	var loads Loads
+	for _, w := range wire {
+		loads.Loads = append(loads.Loads, RunnerLoad{
+			Runner: runner.ID(w.Runner), AgeMillis: w.AgeMillis,
+			Report: engine.Report{
+				Incarnation: w.Incarnation, Model: environment.ModelName(w.Model), Version: environment.ModelVersion(w.Version),
+				Layers: w.Layers, Range: runner.LayerRange{First: w.First, End: w.End},
+				Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued,
+				BatchCost:    time.Duration(w.BatchMicros) * time.Microsecond,
+				PositionCost: time.Duration(w.PositionMicros) * time.Microsecond,
+				RoundTrip:    time.Duration(w.TripMicros) * time.Microsecond,
+				Fence:        w.Fence,
+			},
+		})
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,381 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+)
+
+const (
+	// LinkPath is where an entry instance accepts links.
+	LinkPath = "/v1/peer"
+
+	maxMessageBytes = 64 << 20
+	dialTimeout     = 1 * time.Second
+	writeTimeout    = 2 * time.Second
+	beatInterval    = 1 * time.Second
+	// silenceTimeout ends a link that carried nothing for so long.
+	silenceTimeout  = 3 * time.Second
+	maintainEvery   = 250 * time.Millisecond
+	membersInterval = 10 * time.Second
+	forwardTimeout  = 15 * time.Second
+	linkQueue       = 1024
+)
+
+// Receiver gets what the mesh hears. Its methods must not block.
+type Receiver interface {
+	// LinkUp is called for each new link, before its first message.
+	LinkUp(from Hello)
+	// Received is called for each message but those of the mesh itself.
+	Received(from Hello, message Message)
+	// Call serves a forwarded call; it runs in a goroutine of its own.
+	Call(call ForwardCall) ForwardAnswer
+}
+
+// Config is what a mesh works with.
+type Config struct {
+	Self     Hello
+	Receiver Receiver
+	Logger   *zap.Logger
+}
+
+// Stats counts what a mesh has sent and received.
+type Stats struct {
+	Links         int
+	SentBytes     uint64
+	SentMessages  uint64
+	ReceivedBytes uint64
+}
+
+// Mesh keeps the links to other entry instances.
+type Mesh struct {
+	config Config
+
+	mu      sync.Mutex
+	roster  *Roster
+	links   map[instancelist.ID]*link
+	dialing map[instancelist.ID]bool
+	leaving bool
+
+	sentBytes     atomic.Uint64
+	sentMessages  atomic.Uint64
+	receivedBytes atomic.Uint64
+}
+
+// NewMesh returns a mesh without links.
+func NewMesh(config Config) *Mesh {
+	return &Mesh{
+		config:  config,
+		roster:  NewRoster(config.Self.Instance, config.Self.Zone),
+		links:   map[instancelist.ID]*link{},
+		dialing: map[instancelist.ID]bool{},
+	}
+}
+
+// Handler accepts links.
+func (m *Mesh) Handler() http.Handler {
+	upgrader := websocket.Upgrader{}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := upgrader.Upgrade(w, r, nil)
+		if err != nil {
+			return
+		}
+		m.open(conn, "")
+	})
+}
+
+// SetInstances takes the entry instances of the platform's list.
+func (m *Mesh) SetInstances(now time.Time, list []instancelist.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roster.Listed(now, list)
+}
+
+// Leave tells the peers that this instance is leaving.
+func (m *Mesh) Leave() {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	m.Broadcast(Beat{Leaving: true})
+}
+
+// Linked returns the instances with an open link, sorted by id.
+func (m *Mesh) Linked() []Hello {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Hello, 0, len(m.links))
+	for _, l := range m.links {
+		list = append(list, l.peer)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	return list
+}
+
+// Zone returns the ids of this zone's instances with an open link that are not
+// leaving, and this instance's own unless it is.
+func (m *Mesh) Zone() []instancelist.ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []instancelist.ID
+	if !m.leaving {
+		list = append(list, m.config.Self.Instance)
+	}
+	for _, l := range m.links {
+		if l.peer.Zone == m.config.Self.Zone && !l.leaving.Load() {
+			list = append(list, l.peer.Instance)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list
+}
+
+// Stats returns what the mesh has sent and received so far.
+func (m *Mesh) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Stats{
+		Links: len(m.links), SentBytes: m.sentBytes.Load(),
+		SentMessages: m.sentMessages.Load(), ReceivedBytes: m.receivedBytes.Load(),
+	}
+}
+
+// Broadcast sends a message over every link.
+func (m *Mesh) Broadcast(message Message) {
+	m.each(message, func(*link) bool { return true })
+}
+
+// BroadcastZone sends a message over the links inside this zone.
+func (m *Mesh) BroadcastZone(message Message) {
+	m.each(message, func(l *link) bool { return l.peer.Zone == m.config.Self.Zone })
+}
+
+// Send sends a message to one instance, and reports whether there is a link.
+func (m *Mesh) Send(to instancelist.ID, message Message) bool {
+	sent := false
+	m.each(message, func(l *link) bool {
+		chosen := l.peer.Instance == to
+		sent = sent || chosen
+		return chosen
+	})
+	return sent
+}
+
+func (m *Mesh) each(message Message, chosen func(*link) bool) {
+	data, err := Encode(message)
+	if err != nil {
+		m.config.Logger.Error("peer message not encoded", zap.Error(err))
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if chosen(l) {
+			l.enqueue(data)
+		}
+	}
+}
+
+// Forward sends a call to the instance of an incarnation and waits for its
+// answer. It returns false when there is no link or no answer.
+func (m *Mesh) Forward(ctx context.Context, to Incarnation, call ForwardCall) (ForwardAnswer, bool) {
+	m.mu.Lock()
+	var chosen *link
+	for _, l := range m.links {
+		if l.peer.Incarnation == to {
+			chosen = l
+		}
+	}
+	m.mu.Unlock()
+	if chosen == nil {
+		return ForwardAnswer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return chosen.forward(ctx, call)
+}
+
+// Run keeps links to the targets until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	ticker := time.NewTicker(maintainEvery)
+	defer ticker.Stop()
+	lastMembers := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			m.closeAll()
+			return
+		case now := <-ticker.C:
+			for _, target := range m.missing(now) {
+				go m.dial(ctx, target)
+			}
+			if now.Sub(lastMembers) >= membersInterval {
+				lastMembers = now
+				m.mu.Lock()
+				known := m.roster.Known()
+				m.mu.Unlock()
+				m.Broadcast(Members{Instances: known})
+			}
+		}
+	}
+}
+
+func (m *Mesh) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.close()
+	}
+}
+
+// missing returns the targets without a link, and marks them as being dialed.
+func (m *Mesh) missing(now time.Time) []instancelist.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.links {
+		m.roster.Heard(now, id)
+	}
+	m.roster.Forget(now)
+	var list []instancelist.Instance
+	for _, target := range m.roster.Targets(now) {
+		if m.links[target.ID] == nil && !m.dialing[target.ID] {
+			m.dialing[target.ID] = true
+			list = append(list, target)
+		}
+	}
+	return list
+}
+
+func (m *Mesh) dial(ctx context.Context, target instancelist.Instance) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.dialing, target.ID)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	conn, response, err := dialer.DialContext(ctx, "ws://"+target.Address+LinkPath, nil)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	m.open(conn, m.config.Self.Instance)
+}
+
+// open exchanges hellos and starts a link. An empty dialer stands for the
+// other side.
+func (m *Mesh) open(conn *websocket.Conn, dialer instancelist.ID) {
+	conn.SetReadLimit(maxMessageBytes)
+	hello, err := exchangeHello(conn, m.config.Self)
+	if err != nil || hello.Instance == m.config.Self.Instance {
+		_ = conn.Close()
+		return
+	}
+	if dialer == "" {
+		dialer = hello.Instance
+	}
+	l := newLink(m, conn, hello, dialer)
+	m.mu.Lock()
+	old := m.links[hello.Instance]
+	if old != nil && m.keeps(old, l) {
+		m.mu.Unlock()
+		_ = conn.Close()
+		return
+	}
+	m.links[hello.Instance] = l
+	known := m.roster.Known()
+	m.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+	m.config.Logger.Info("peer link up", zap.String("peer", string(hello.Instance)))
+	m.config.Receiver.LinkUp(hello)
+	if len(known) > 0 {
+		l.send(Members{Instances: known})
+	}
+	go l.write()
+	go l.read()
+}
+
+// keeps reports whether an open link goes before a new one. When both sides
+// dialed at once, both keep the link that the smaller id dialed.
+func (m *Mesh) keeps(old, l *link) bool {
+	first := min(m.config.Self.Instance, l.peer.Instance)
+	return old.peer.Incarnation == l.peer.Incarnation && old.dialer == first && l.dialer != first
+}
+
+func exchangeHello(conn *websocket.Conn, self Hello) (Hello, error) {
+	data, err := Encode(self)
+	if err != nil {
+		return Hello{}, err
+	}
+	deadline := time.Now().Add(dialTimeout)
+	_ = conn.SetWriteDeadline(deadline)
+	if err := conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
+		return Hello{}, err
+	}
+	_ = conn.SetReadDeadline(deadline)
+	_, data, err = conn.ReadMessage()
+	if err != nil {
+		return Hello{}, err
+	}
+	message, err := Decode(data)
+	if err != nil {
+		return Hello{}, err
+	}
+	hello, ok := message.(Hello)
+	if !ok {
+		return Hello{}, &ProtocolError{What: "first message is not a hello"}
+	}
+	return hello, nil
+}
+
+// ProtocolError says that a peer broke the protocol.
+type ProtocolError struct {
+	What string
+}
+
+func (e *ProtocolError) Error() string {
+	return "peer protocol: " + e.What
+}
+
+// down forgets a link that has ended.
+func (m *Mesh) down(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.peer.Instance] == l {
+		delete(m.links, l.peer.Instance)
+		m.config.Logger.Info("peer link down", zap.String("peer", string(l.peer.Instance)))
+	}
+}
+
+// heard takes a message of a link.
+func (m *Mesh) heard(l *link, message Message) {
+	switch message := message.(type) {
+	case Beat:
+		l.leaving.Store(message.Leaving)
+	case Members:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.roster.Gossiped(time.Now(), message.Instances)
+	case ForwardCall:
+		go func() {
+			answer := m.config.Receiver.Call(message)
+			answer.ID = message.ID
+			l.send(answer)
+		}()
+	case ForwardAnswer:
+		l.answered(message)
+	case nil:
+	default:
+		m.config.Receiver.Received(l.peer, message)
+	}
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,126 @@
+// Package peer speaks between entry instances: a full mesh inside an
+// availability zone and a few links to each other zone carry document
+// versions, load, quarantines and forwarded calls.
+//
+// Usage: create a Mesh, serve its Handler on the peer address, tell it the
+// instances with SetInstances, and Send messages:
+//
+//	mesh := peer.NewMesh(peer.Config{...})
+//	go mesh.Run(ctx)
+//	mesh.Broadcast(peer.Documents{AsOf: 17})
+package peer
+
+import (
+	"github.com/google/uuid"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+// Incarnation identifies one run of an entry instance.
+type Incarnation = uuid.UUID
+
+// RequestID pairs a call with its answer on one link.
+type RequestID uint64
+
+// Message is one of the messages between entry instances.
+type Message interface {
+	isMessage()
+}
+
+// Hello opens a link, in both directions.
+type Hello struct {
+	Instance    instancelist.ID
+	Incarnation Incarnation
+	Zone        instancelist.AvailabilityZone
+	Region      instancelist.Region
+}
+
+// Beat is a sign of life.
+type Beat struct {
+	Leaving bool
+}
+
+// Members lists the entry instances that the sender knows.
+type Members struct {
+	Instances []instancelist.Instance
+}
+
+// Documents says how far the sender has read the documents' stream.
+type Documents struct {
+	AsOf logservice.Offset
+}
+
+// DocumentsWanted asks for the sender's documents when they are ahead.
+type DocumentsWanted struct {
+	AsOf logservice.Offset
+}
+
+// DocumentsState carries the documents in force.
+type DocumentsState struct {
+	Snapshot document.Checkpoint
+}
+
+// RunnerLoad is one runner's report, taken by the sender.
+type RunnerLoad struct {
+	Runner runner.ID
+	Report engine.Report
+	// AgeMillis is how old the report was when it was sent.
+	AgeMillis int64
+}
+
+// Loads carries the reports that changed since the last message.
+type Loads struct {
+	Loads []RunnerLoad
+}
+
+// Demand tells how much of its limits each active tenant used at the sender.
+type Demand struct {
+	Tenants map[environment.TenantName]float64
+}
+
+// CrashNotice says that a request was running on a runner when it crashed.
+type CrashNotice struct {
+	Request engine.Fingerprint
+	Runner  string
+}
+
+// ForwardCall carries a call to the instance that issued its key.
+type ForwardCall struct {
+	ID          RequestID
+	Method      string
+	Path        string
+	Query       string
+	Stage       string
+	ContentType string
+	APIKey      string
+	Key         string
+	Body        []byte
+}
+
+// ForwardAnswer answers a ForwardCall.
+type ForwardAnswer struct {
+	ID          RequestID
+	Status      int
+	ContentType string
+	Outcome     string
+	Attempt     string
+	RetryAfter  string
+	Body        []byte
+}
+
+func (Hello) isMessage()           {}
+func (Beat) isMessage()            {}
+func (Members) isMessage()         {}
+func (Documents) isMessage()       {}
+func (DocumentsWanted) isMessage() {}
+func (DocumentsState) isMessage()  {}
+func (Loads) isMessage()           {}
+func (Demand) isMessage()          {}
+func (CrashNotice) isMessage()     {}
+func (ForwardCall) isMessage()     {}
+func (ForwardAnswer) isMessage()   {}
--- /dev/null
+++ b/internal/runner/stream.go
@@ -0,0 +1,245 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/websocket"
+)
+
+const (
+	// StepsPath is where an engine accepts streams of steps.
+	StepsPath = "/v1/steps"
+	// MaxFrameBytes bounds one frame of a stream.
+	MaxFrameBytes = 16 << 20
+
+	dialTimeout  = 250 * time.Millisecond
+	writeTimeout = 2 * time.Second
+	// A stream with steps under way that has been quiet for beatInterval asks
+	// for a sign of life, and ends after silenceTimeout without one.
+	beatInterval   = 100 * time.Millisecond
+	silenceTimeout = 300 * time.Millisecond
+	maxBatch       = 256
+	queueLength    = 4096
+)
+
+// LostError says that a stream ended before it answered.
+type LostError struct {
+	Runner ID
+	Cause  error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("runner %s lost: %v", e.Runner, e.Cause)
+}
+
+func (e *LostError) Unwrap() error {
+	return e.Cause
+}
+
+// Receiver gets what a stream reads. Its methods must not block.
+type Receiver interface {
+	// Replied is called for each reply, in the order of arrival.
+	Replied(from ID, reply Reply)
+	// Lost is called once, when the stream has ended.
+	Lost(from ID, stream *Stream, cause error)
+}
+
+// Stream is one open connection to a runner, shared by many sessions. Steps
+// that are queued while a write is under way share the next frame.
+type Stream struct {
+	id       ID
+	conn     *websocket.Conn
+	receiver Receiver
+	outgoing chan outgoing
+	done     chan struct{}
+	finish   sync.Once
+
+	// waiting counts the steps without a reply; heard is when the runner last
+	// sent anything or had nothing to answer, in Unix nanoseconds.
+	waiting atomic.Int64
+	heard   atomic.Int64
+}
+
+// SilentError says that a connection carried nothing although answers were
+// due.
+type SilentError struct {
+	For time.Duration
+}
+
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("connection silent for %s", e.For)
+}
+
+type outgoing struct {
+	step  *Step
+	close *Close
+	beat  uint64
+}
+
+// Dial opens a stream to the runner that listens at address, HOST:PORT.
+func Dial(ctx context.Context, id ID, address string, receiver Receiver) (*Stream, error) {
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, response, err := dialer.DialContext(ctx, "ws://"+address+StepsPath, nil)
+	if err != nil {
+		return nil, &LostError{Runner: id, Cause: err}
+	}
+	_ = response.Body.Close()
+	conn.SetReadLimit(MaxFrameBytes)
+	s := &Stream{
+		id: id, conn: conn, receiver: receiver,
+		outgoing: make(chan outgoing, queueLength),
+		done:     make(chan struct{}),
+	}
+	go s.write()
+	go s.read()
+	return s, nil
+}
+
+// Send queues a step. It reports false when the stream has ended or its queue
+// is full.
+func (s *Stream) Send(step Step) bool {
+	if s.waiting.Add(1) == 1 {
+		s.heard.Store(time.Now().UnixNano())
+	}
+	if s.enqueue(outgoing{step: &step}) {
+		return true
+	}
+	s.waiting.Add(-1)
+	return false
+}
+
+// Close queues the release of a session's state at the runner.
+func (s *Stream) Close(c Close) bool {
+	return s.enqueue(outgoing{close: &c})
+}
+
+func (s *Stream) enqueue(o outgoing) bool {
+	if s.Ended() {
+		return false
+	}
+	select {
+	case s.outgoing <- o:
+		return true
+	default:
+		return false
+	}
+}
+
+// Ended reports whether the stream has ended.
+func (s *Stream) Ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Shutdown ends the stream. The receiver's Lost is called with cause.
+func (s *Stream) Shutdown(cause error) {
+	s.finish.Do(func() {
+		close(s.done)
+		_ = s.conn.Close()
+		s.receiver.Lost(s.id, s, cause)
+	})
+}
+
+func (s *Stream) write() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	beat := uint64(0)
+	for {
+		var first outgoing
+		select {
+		case <-s.done:
+			return
+		case first = <-s.outgoing:
+		case now := <-ticker.C:
+			silence := s.silence(now)
+			if silence >= silenceTimeout {
+				s.Shutdown(&SilentError{For: silence})
+				return
+			}
+			if silence < beatInterval {
+				continue
+			}
+			beat++
+			first = outgoing{beat: beat}
+		}
+		if err := s.writeFrame(s.collect(first)); err != nil {
+			s.Shutdown(err)
+			return
+		}
+	}
+}
+
+// silence is how long an answer has been due without a sign of life.
+func (s *Stream) silence(now time.Time) time.Duration {
+	if s.waiting.Load() <= 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, s.heard.Load()))
+}
+
+func (s *Stream) writeFrame(frame Frame) error {
+	data, err := EncodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return s.conn.WriteMessage(websocket.BinaryMessage, data)
+}
+
+// collect joins first and all that is queued now into one frame.
+func (s *Stream) collect(first outgoing) Frame {
+	var f Frame
+	f.add(first)
+	for n := 1; n < maxBatch; n++ {
+		select {
+		case o := <-s.outgoing:
+			f.add(o)
+		default:
+			return f
+		}
+	}
+	return f
+}
+
+func (f *Frame) add(o outgoing) {
+	switch {
+	case o.step != nil:
+		f.Steps = append(f.Steps, *o.step)
+	case o.close != nil:
+		f.Closes = append(f.Closes, *o.close)
+	default:
+		f.Beat = o.beat
+	}
+}
+
+func (s *Stream) read() {
+	for {
+		_, data, err := s.conn.ReadMessage()
+		if err != nil {
+			s.Shutdown(err)
+			return
+		}
+		frame, err := DecodeFrame(data)
+		if err != nil {
+			s.Shutdown(err)
+			return
+		}
+		s.heard.Store(time.Now().UnixNano())
+		for _, reply := range frame.Replies {
+			s.waiting.Add(-1)
+			s.receiver.Replied(s.id, reply)
+		}
+	}
+}
