--- /dev/null
+++ b/internal/service/client.go
@@ -0,0 +1,267 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	dialTimeout = 1 * time.Second
+	// MaxResponseBytes bounds the response of a plain service.
+	MaxResponseBytes = 4 << 20
+	// maxRecordedBody bounds the body that an outcome repeats on the log.
+	maxRecordedBody = 8 << 10
+	idempotencyKey  = "Idempotency-Key"
+)
+
+// Request is a call to a plain service.
+type Request struct {
+	Service     environment.ServiceName
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// Key is the idempotency key that the service is given, if any.
+	Key     string
+	Timeout time.Duration
+}
+
+// Response is what the service answered.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// CallError says that no backend server answered. Written is false when none
+// can have got anything of the call.
+type CallError struct {
+	Service environment.ServiceName
+	Written bool
+	Cause   error
+}
+
+func (e *CallError) Error() string {
+	return fmt.Sprintf("call to service %s failed: %v", e.Service, e.Cause)
+}
+
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// Counts is what a client has seen so far.
+type Counts struct {
+	Calls   uint64
+	Retries uint64
+	// Denied counts retries that the budget did not allow.
+	Denied uint64
+}
+
+// Client calls plain services.
+type Client struct {
+	pooled *http.Client
+	fresh  *http.Client
+
+	mu       sync.Mutex
+	backends *Backends
+	budget   *RetryBudget
+	counts   Counts
+}
+
+// NewClient returns a client in an availability zone.
+func NewClient(zone instancelist.AvailabilityZone) *Client {
+	return &Client{
+		pooled:   &http.Client{Transport: transport(false), CheckRedirect: keepRedirect},
+		fresh:    &http.Client{Transport: transport(true), CheckRedirect: keepRedirect},
+		backends: NewBackends(zone),
+		budget:   NewRetryBudget(),
+	}
+}
+
+// transport with fresh set opens a connection for each call: an open one may
+// have gone silent, and a call that was written to it could not be repeated.
+func transport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: fresh, DisableCompression: true,
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+	}
+}
+
+// keepRedirect hands a redirect on to the caller: following it could repeat a
+// call.
+func keepRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// Counts returns what the client has seen so far.
+func (c *Client) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// Call makes an idempotent call, and repeats it at other backend servers while
+// the retry budget allows. The error is a *CallError or a *NoBackendError.
+func (c *Client) Call(ctx context.Context, request Request) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
+	defer cancel()
+	tried := map[instancelist.ID]bool{}
+	for {
+		backend, err := c.begin(request.Service, tried)
+		if err != nil {
+			return Response{}, err
+		}
+		tried[backend.ID] = true
+		response, err := c.send(ctx, c.pooled, backend.Address, request)
+		c.end(backend, err)
+		if err == nil || ctx.Err() != nil || !c.mayRetry(request.Service, tried) {
+			return response, err
+		}
+	}
+}
+
+func (c *Client) begin(name environment.ServiceName, tried map[instancelist.ID]bool) (*Backend, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	backend, err := c.backends.Choose(time.Now(), name, tried)
+	if err != nil {
+		return nil, err
+	}
+	backend.inFlight++
+	c.counts.Calls++
+	return backend, nil
+}
+
+func (c *Client) end(backend *Backend, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	backend.inFlight--
+	if err != nil {
+		backend.Failed(time.Now())
+		return
+	}
+	backend.Succeeded()
+	c.budget.Succeeded()
+}
+
+// mayRetry spends a retry only where another backend server is left.
+func (c *Client) mayRetry(name environment.ServiceName, tried map[instancelist.ID]bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, err := c.backends.Choose(time.Now(), name, tried); err != nil {
+		return false
+	}
+	if !c.budget.Take() {
+		c.counts.Denied++
+		return false
+	}
+	c.counts.Retries++
+	return true
+}
+
+func (c *Client) send(ctx context.Context, client *http.Client, address string, request Request) (Response, error) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	url := "http://" + address + request.Path
+	if request.Query != "" {
+		url += "?" + request.Query
+	}
+	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), request.Method, url, bytes.NewReader(request.Body))
+	if err != nil {
+		return Response{}, &CallError{Service: request.Service, Cause: err}
+	}
+	// Without GetBody the transport never repeats the call on its own.
+	outgoing.GetBody = nil
+	if request.ContentType != "" {
+		outgoing.Header.Set("Content-Type", request.ContentType)
+	}
+	if request.Key != "" {
+		outgoing.Header.Set(idempotencyKey, request.Key)
+	}
+	incoming, err := client.Do(outgoing)
+	if err != nil {
+		return Response{}, &CallError{Service: request.Service, Written: connected, Cause: err}
+	}
+	defer func() { _ = incoming.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, MaxResponseBytes+1))
+	if err == nil && len(body) > MaxResponseBytes {
+		err = errors.New("response too large")
+	}
+	if err != nil {
+		return Response{}, &CallError{Service: request.Service, Written: true, Cause: err}
+	}
+	return Response{Status: incoming.StatusCode, ContentType: incoming.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// Dispatcher sends one non-idempotent call; it implements claim.Dispatcher.
+type Dispatcher struct {
+	client  *Client
+	request Request
+	tried   map[instancelist.ID]bool
+	whole   *Response
+}
+
+// NewDispatcher returns a dispatcher for a call.
+func (c *Client) NewDispatcher(request Request) *Dispatcher {
+	return &Dispatcher{client: c, request: request, tried: map[instancelist.ID]bool{}}
+}
+
+// Dispatch implements claim.Dispatcher.
+func (d *Dispatcher) Dispatch(ctx context.Context) claim.DispatchResult {
+	backend, err := d.client.begin(d.request.Service, d.tried)
+	if err != nil {
+		// All were tried; the next round may find one that is back.
+		d.tried = map[instancelist.ID]bool{}
+		backend, err = d.client.begin(d.request.Service, d.tried)
+	}
+	if err != nil {
+		return claim.NotWritten{}
+	}
+	d.tried[backend.ID] = true
+	ctx, cancel := context.WithTimeout(ctx, d.request.Timeout)
+	defer cancel()
+	response, err := d.client.send(ctx, d.client.fresh, backend.Address, d.request)
+	d.client.end(backend, err)
+	var failed *CallError
+	switch {
+	case err == nil:
+		d.whole = &response
+		return claim.Answered{Response: recorded(response)}
+	case errors.As(err, &failed) && failed.Written:
+		return claim.ResponseLost{}
+	}
+	return claim.NotWritten{}
+}
+
+// Whole returns the response that this dispatcher got, nil if none: the
+// recorded one may be truncated.
+func (d *Dispatcher) Whole() *Response {
+	return d.whole
+}
+
+func recorded(r Response) claim.Response {
+	kept := claim.Response{Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+	if len(kept.Body) > maxRecordedBody {
+		kept.Body, kept.Truncated = nil, true
+	}
+	return kept
+}
+
+// SetInstances takes the services of the instance list.
+func (c *Client) SetInstances(services []instancelist.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.backends.SetInstances(services)
+}
--- /dev/null
+++ b/pkg/environment/environment.go
@@ -0,0 +1,187 @@
+// Package environment holds the document that describes one environment: the
+// models and plain services it offers, its classes of requests and its tenants.
+//
+// Usage: parse a document with Parse. It reports every problem at once, each
+// with its line and key:
+//
+//	doc, err := environment.Parse("bench.toml", data)
+//	var problems *tomlpos.ProblemsError
+//	if errors.As(err, &problems) { ... }
+//
+// A Document is never changed after Parse returned it, so it may be shared.
+package environment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+)
+
+// Name identifies an environment.
+type Name string
+
+// Stage is one of the two places where a document can be in force.
+type Stage string
+
+// The stages of an environment.
+const (
+	Trial      Stage = "trial"
+	Production Stage = "production"
+)
+
+// ModelName identifies a model.
+type ModelName string
+
+// ModelVersion identifies one set of weights of a model.
+type ModelVersion string
+
+// ServiceName identifies a plain service.
+type ServiceName string
+
+// TenantName identifies a tenant.
+type TenantName string
+
+// ClassName identifies a class of requests.
+type ClassName string
+
+// KeyHash is the hex SHA-256 of a tenant's API key.
+type KeyHash string
+
+// Digest is the hex SHA-256 of a document's body.
+type Digest string
+
+// HashKey returns the hash under which a document lists an API key.
+func HashKey(key string) KeyHash {
+	sum := sha256.Sum256([]byte(key))
+	return KeyHash(hex.EncodeToString(sum[:]))
+}
+
+// DigestOf returns the digest of a document's body.
+func DigestOf(body []byte) Digest {
+	sum := sha256.Sum256(body)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Document is the content of one version of an environment's document.
+type Document struct {
+	Environment Name
+	Models      []Model
+	Services    []Service
+	Classes     []Class
+	Tenants     []Tenant
+}
+
+// Model describes a language model whose layers are spread over runners.
+type Model struct {
+	Name    ModelName
+	Version ModelVersion
+	Layers  int
+}
+
+// Service describes a plain service.
+type Service struct {
+	Name ServiceName
+	// HonoursKeys says that the service itself runs a given idempotency key at
+	// most once, so that a call to it may be repeated under the same key.
+	HonoursKeys bool
+	// Timeout bounds one call.
+	Timeout    time.Duration
+	Operations []Operation
+}
+
+// Operation describes the calls whose method matches and whose path starts
+// with PathPrefix. The longest prefix wins.
+type Operation struct {
+	Method     string
+	PathPrefix string
+	Idempotent bool
+}
+
+// Class describes how a request of it is treated.
+type Class struct {
+	Name ClassName
+	// Priority is handed to the model engines; greater runs first.
+	Priority int
+	// FirstTokenDeadline is the longest wait for the first token.
+	FirstTokenDeadline time.Duration
+}
+
+// Tenant describes one team.
+type Tenant struct {
+	Name              TenantName
+	KeyHash           KeyHash
+	Class             ClassName
+	Weight            int
+	RequestsPerSecond float64
+	Concurrent        int
+	Models            []ModelName
+	Services          []ServiceName
+}
+
+// Model returns the model called name.
+func (d *Document) Model(name ModelName) (Model, bool) {
+	for _, m := range d.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service returns the service called name.
+func (d *Document) Service(name ServiceName) (Service, bool) {
+	for _, s := range d.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Class returns the class called name.
+func (d *Document) Class(name ClassName) (Class, bool) {
+	for _, c := range d.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Class{}, false
+}
+
+// MayUseModel reports whether t may use the model.
+func (t Tenant) MayUseModel(name ModelName) bool {
+	for _, m := range t.Models {
+		if m == name {
+			return true
+		}
+	}
+	return false
+}
+
+// MayUseService reports whether t may call the service.
+func (t Tenant) MayUseService(name ServiceName) bool {
+	for _, s := range t.Services {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Operation returns the operation that a call of method on path belongs to.
+func (s Service) Operation(method, path string) (Operation, bool) {
+	best := -1
+	for i, op := range s.Operations {
+		if op.Method != method || !strings.HasPrefix(path, op.PathPrefix) {
+			continue
+		}
+		if best < 0 || len(op.PathPrefix) > len(s.Operations[best].PathPrefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Operation{}, false
+	}
+	return s.Operations[best], true
+}
