--- a/cmd/mulberryhead-demo/main.go
+++ b/cmd/mulberryhead-demo/main.go
@@ -46,17 +46,17 @@
 		}
 		os.Exit(exitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
-	defer cancel()
-	if err := run(ctx, o); err != nil {
+	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(ctx context.Context, o options) (err error) {
+func run(o options) (err error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
 	scratch, err := os.MkdirTemp("", "mulberryhead-demo")
 	if err != nil {
 		return fmt.Errorf("make a scratch directory: %w", err)
--- a/cmd/mulberryhead/run.go
+++ b/cmd/mulberryhead/run.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"os/signal"
-	"runtime/debug"
+	"runtime"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -47,9 +47,6 @@
 
 // Execute prints the version.
 func (versionCommand) Execute([]string) error {
-	fmt.Println("mulberryhead", version)
-	if info, ok := debug.ReadBuildInfo(); ok {
-		fmt.Println("go", info.GoVersion)
-	}
-	return nil
+	_, err := fmt.Println("mulberryhead", version, runtime.Version())
+	return err
 }
--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -30,17 +30,17 @@
 	started  time.Time
 	finish   float64
 	index    int
-	admitted chan *Problem
+	admitted chan *ProblemError
 }
 
 // NewTicket returns a ticket for one request.
 func NewTicket(tenant environment.Tenant, cost float64, deadline time.Duration) *Ticket {
-	return &Ticket{Tenant: tenant, Cost: cost, Deadline: deadline, index: -1, admitted: make(chan *Problem, 1)}
+	return &Ticket{Tenant: tenant, Cost: cost, Deadline: deadline, index: -1, admitted: make(chan *ProblemError, 1)}
 }
 
 // Admitted gives nil once the request may run, or the problem that it ends
 // with.
-func (t *Ticket) Admitted() <-chan *Problem {
+func (t *Ticket) Admitted() <-chan *ProblemError {
 	return t.admitted
 }
 
@@ -123,22 +123,22 @@
 }
 
 // turnAway returns the problem of a request that can't be served in time.
-func (a *Admission) turnAway(now time.Time, state *tenantState, t *Ticket) *Problem {
+func (a *Admission) turnAway(now time.Time, state *tenantState, t *Ticket) *ProblemError {
 	if state.running+state.queued >= t.Tenant.Concurrent {
-		return &Problem{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: a.wait(state.queued + 1)}
+		return &ProblemError{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: a.wait(state.queued + 1)}
 	}
 	reservation := state.limiter.ReserveN(now, 1)
 	if !reservation.OK() || reservation.DelayFrom(now) > 0 {
 		delay := reservation.DelayFrom(now)
 		reservation.CancelAt(now)
-		return &Problem{Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up", RetryAfter: max(min(delay, time.Minute), time.Second)}
+		return &ProblemError{Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up", RetryAfter: max(min(delay, time.Minute), time.Second)}
 	}
 	wait := a.wait(a.ahead(state, t) + 1)
 	if a.running < a.limit && len(a.queue) == 0 {
 		return nil
 	}
 	if len(a.queue) >= maxQueued || wait > t.Deadline {
-		return &Problem{Status: 503, Code: CodeOverloaded, Detail: "the wait would exceed the class's deadline", RetryAfter: max(wait, time.Second)}
+		return &ProblemError{Status: 503, Code: CodeOverloaded, Detail: "the wait would exceed the class's deadline", RetryAfter: max(wait, time.Second)}
 	}
 	return nil
 }
@@ -201,7 +201,7 @@
 			continue
 		}
 		a.remove(now, t)
-		t.admitted <- &Problem{
+		t.admitted <- &ProblemError{
 			Status: 503, Code: CodeOverloaded, Detail: "the class's deadline passed in the queue",
 			RetryAfter: max(a.wait(len(a.queue)+1), time.Second),
 		}
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -111,7 +111,7 @@
 	return a.control.Flush()
 }
 
-func (a *answerWriter) finish() *Problem {
+func (a *answerWriter) finish() *ProblemError {
 	reason := "length"
 	if a.gen.stream {
 		if err := a.event(a.chunk("", &reason)); err == nil {
@@ -138,7 +138,7 @@
 
 // fail ends an answer that is not whole. Once tokens were sent, an error event
 // and a cut connection tell the caller; before that, the problem does.
-func (a *answerWriter) fail(problem *Problem) *Problem {
+func (a *answerWriter) fail(problem *ProblemError) *ProblemError {
 	if !a.call.written {
 		return problem
 	}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -53,7 +53,7 @@
 	chat      bool
 }
 
-func (s *Server) chatCompletions(c *call) *Problem {
+func (s *Server) chatCompletions(c *call) *ProblemError {
 	body, problem := c.readBody()
 	if problem != nil {
 		return problem
@@ -72,7 +72,7 @@
 	return s.generate(c, wire.Model, strings.Join(parts, "\n"), wire.MaxTokens, wire.Stream, true)
 }
 
-func (s *Server) completions(c *call) *Problem {
+func (s *Server) completions(c *call) *ProblemError {
 	body, problem := c.readBody()
 	if problem != nil {
 		return problem
@@ -84,11 +84,11 @@
 	return s.generate(c, wire.Model, wire.Prompt, wire.MaxTokens, wire.Stream, false)
 }
 
-func malformed(detail string) *Problem {
-	return &Problem{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: detail}
+func malformed(detail string) *ProblemError {
+	return &ProblemError{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: detail}
 }
 
-func (s *Server) generate(c *call, model, prompt string, maxTokens *int, stream, chat bool) *Problem {
+func (s *Server) generate(c *call, model, prompt string, maxTokens *int, stream, chat bool) *ProblemError {
 	g, problem := checkGeneration(c.grant, model, prompt, maxTokens)
 	if problem != nil {
 		return problem
@@ -107,14 +107,14 @@
 	return s.answer(c, g, class)
 }
 
-func checkGeneration(grant Grant, model, prompt string, maxTokens *int) (generation, *Problem) {
+func checkGeneration(grant Grant, model, prompt string, maxTokens *int) (generation, *ProblemError) {
 	name := environment.ModelName(model)
 	m, ok := grant.Document.Model(name)
 	if !ok {
-		return generation{}, &Problem{Status: http.StatusNotFound, Code: CodeUnknownModel, Detail: fmt.Sprintf("no model %q", model)}
+		return generation{}, &ProblemError{Status: http.StatusNotFound, Code: CodeUnknownModel, Detail: fmt.Sprintf("no model %q", model)}
 	}
 	if !grant.Tenant.MayUseModel(name) {
-		return generation{}, &Problem{Status: http.StatusForbidden, Code: CodeForbidden, Detail: fmt.Sprintf("the tenant may not use model %q", model)}
+		return generation{}, &ProblemError{Status: http.StatusForbidden, Code: CodeForbidden, Detail: fmt.Sprintf("the tenant may not use model %q", model)}
 	}
 	g := generation{model: m, prompt: hashmodel.Tokenize(prompt), maxTokens: defaultMaxTokens}
 	if maxTokens != nil {
@@ -124,7 +124,7 @@
 	case len(g.prompt) == 0:
 		return generation{}, malformed("the prompt is empty")
 	case len(g.prompt) > maxPromptTokens:
-		return generation{}, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Detail: fmt.Sprintf("the prompt is over %d tokens", maxPromptTokens)}
+		return generation{}, &ProblemError{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Detail: fmt.Sprintf("the prompt is over %d tokens", maxPromptTokens)}
 	case g.maxTokens < 1 || g.maxTokens > maxMaxTokens:
 		return generation{}, malformed(fmt.Sprintf("max_tokens is not within 1 to %d", maxMaxTokens))
 	}
@@ -132,7 +132,7 @@
 }
 
 // admit waits for the ticket's turn.
-func (s *Server) admit(ctx context.Context, ticket *Ticket) *Problem {
+func (s *Server) admit(ctx context.Context, ticket *Ticket) *ProblemError {
 	s.mu.Lock()
 	s.admission.Arrive(time.Now(), ticket)
 	s.mu.Unlock()
@@ -144,7 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.admission.Abandon(time.Now(), ticket) {
-		return &Problem{Status: statusClientClosed, Code: CodeOverloaded, Detail: "the caller has gone"}
+		return &ProblemError{Status: statusClientClosed, Code: CodeOverloaded, Detail: "the caller has gone"}
 	}
 	// The ticket was answered in the meantime; the caller's end shows later.
 	return <-ticket.Admitted()
@@ -154,7 +154,7 @@
 const statusClientClosed = 499
 
 // answer makes an answer and sends it, streamed or in one piece.
-func (s *Server) answer(c *call, g generation, class environment.Class) *Problem {
+func (s *Server) answer(c *call, g generation, class environment.Class) *ProblemError {
 	out := newAnswerWriter(c, g)
 	tenant := c.grant.Tenant
 	last := time.Time{}
@@ -179,8 +179,8 @@
 	return out.finish()
 }
 
-func answerProblem(err error) *Problem {
-	problem := &Problem{
+func answerProblem(err error) *ProblemError {
+	problem := &ProblemError{
 		Status: http.StatusServiceUnavailable, Code: CodeAnswerFailed,
 		Detail: "the answer could not be made whole", RetryAfter: time.Second,
 	}
@@ -197,7 +197,7 @@
 	return problem
 }
 
-func (s *Server) models(c *call) *Problem {
+func (s *Server) models(c *call) *ProblemError {
 	type wireModel struct {
 		ID      string `json:"id"`
 		Object  string `json:"object"`
@@ -215,7 +215,7 @@
 	}{"list", list})
 }
 
-func (c *call) writeJSON(status int, value any) *Problem {
+func (c *call) writeJSON(status int, value any) *ProblemError {
 	c.written = true
 	c.w.Header().Set("Content-Type", "application/json")
 	c.w.WriteHeader(status)
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -48,8 +48,8 @@
 	defaultRetryAfterSeconds      = 1
 )
 
-// Problem is an error answer in the form of RFC 9457.
-type Problem struct {
+// ProblemError is an error answer in the form of RFC 9457.
+type ProblemError struct {
 	Status int
 	Code   Code
 	Detail string
@@ -59,7 +59,7 @@
 	RetryAfter time.Duration
 }
 
-func (p *Problem) Error() string {
+func (p *ProblemError) Error() string {
 	return string(p.Code) + ": " + p.Detail
 }
 
@@ -72,7 +72,7 @@
 	Outcome string `json:"outcome,omitempty"`
 }
 
-func problemToWire(p *Problem) wireProblem {
+func problemToWire(p *ProblemError) wireProblem {
 	return wireProblem{
 		Type: "about:blank", Title: http.StatusText(p.Status), Status: p.Status,
 		Code: string(p.Code), Detail: p.Detail, Outcome: string(p.Outcome),
@@ -86,7 +86,7 @@
 }
 
 // write sends the problem as the whole answer.
-func (p *Problem) write(w http.ResponseWriter) {
+func (p *ProblemError) write(w http.ResponseWriter) {
 	header := w.Header()
 	header.Set("Content-Type", problemContentType)
 	if p.RetryAfter > 0 {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -32,10 +32,10 @@
 	MaxBodyBytes = 1 << 20
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes = 16 << 10
-	// HeaderTimeout and BodyTimeout bound how long a request may take to come
-	// in.
+	// HeaderTimeout bounds how long a request's header may take to come in.
 	HeaderTimeout = 5 * time.Second
-	BodyTimeout   = 10 * time.Second
+	// BodyTimeout bounds how long a request's body may take to come in.
+	BodyTimeout = 10 * time.Second
 
 	expireInterval = 50 * time.Millisecond
 )
@@ -135,11 +135,11 @@
 }
 
 func notFound(w http.ResponseWriter, _ *http.Request) {
-	(&Problem{Status: http.StatusNotFound, Code: CodeNotFound, Detail: "no such path"}).write(w)
+	(&ProblemError{Status: http.StatusNotFound, Code: CodeNotFound, Detail: "no such path"}).write(w)
 }
 
 func methodNotAllowed(w http.ResponseWriter, _ *http.Request) {
-	(&Problem{Status: http.StatusMethodNotAllowed, Code: CodeUnknownMethod, Detail: "the path has no such method"}).write(w)
+	(&ProblemError{Status: http.StatusMethodNotAllowed, Code: CodeUnknownMethod, Detail: "the path has no such method"}).write(w)
 }
 
 // Leave refuses new requests; those that run go on.
@@ -199,7 +199,7 @@
 	written bool
 }
 
-type handler func(*call) *Problem
+type handler func(*call) *ProblemError
 
 // serve bounds, authenticates and logs a request around its handler.
 func (s *Server) serve(handle handler) http.HandlerFunc {
@@ -220,11 +220,11 @@
 	}
 }
 
-func (s *Server) enter() *Problem {
+func (s *Server) enter() *ProblemError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
-		return &Problem{
+		return &ProblemError{
 			Status: http.StatusServiceUnavailable, Code: CodeDraining, Detail: "this instance is leaving",
 			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
 		}
@@ -234,7 +234,7 @@
 		s.busy.Add(1)
 		return nil
 	default:
-		return &Problem{
+		return &ProblemError{
 			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Detail: "too many requests are open",
 			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
 		}
@@ -246,10 +246,10 @@
 	s.busy.Done()
 }
 
-func (s *Server) authenticate(c *call) *Problem {
+func (s *Server) authenticate(c *call) *ProblemError {
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
-		return &Problem{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "send Authorization: Bearer KEY"}
+		return &ProblemError{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "send Authorization: Bearer KEY"}
 	}
 	stage := environment.Production
 	switch c.r.Header.Get(stageHeader) {
@@ -257,18 +257,18 @@
 	case string(environment.Trial):
 		stage = environment.Trial
 	default:
-		return &Problem{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: stageHeader + " is neither trial nor production"}
+		return &ProblemError{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: stageHeader + " is neither trial nor production"}
 	}
 	grant, ok := s.config.Catalog.Lookup(stage, key)
 	if !ok {
-		return &Problem{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "the key belongs to no tenant of the " + string(stage) + " stage"}
+		return &ProblemError{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "the key belongs to no tenant of the " + string(stage) + " stage"}
 	}
 	c.grant, c.apiKey = grant, key
 	c.logger = c.logger.With(zap.String("tenant", string(grant.Tenant.Name)))
 	return nil
 }
 
-func (s *Server) finish(c *call, problem *Problem) {
+func (s *Server) finish(c *call, problem *ProblemError) {
 	if problem == nil {
 		c.logger.Debug("request served", zap.Duration("took", time.Since(c.began)))
 		return
@@ -282,16 +282,16 @@
 }
 
 // readBody returns the whole body, within its bounds.
-func (c *call) readBody() ([]byte, *Problem) {
+func (c *call) readBody() ([]byte, *ProblemError) {
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, MaxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if asMaxBytes(err, &tooLarge) {
-			return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Detail: "the body is over 1 MiB"}
+			return nil, &ProblemError{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Detail: "the body is over 1 MiB"}
 		}
-		return nil, &Problem{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: "the body did not come in whole and in time"}
+		return nil, &ProblemError{Status: http.StatusBadRequest, Code: CodeMalformed, Detail: "the body did not come in whole and in time"}
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -28,7 +28,7 @@
 	issuer claim.Incarnation
 }
 
-func (s *Server) serviceCall(c *call) *Problem {
+func (s *Server) serviceCall(c *call) *ProblemError {
 	request, operation, honours, problem := s.serviceRequest(c)
 	if problem != nil {
 		return problem
@@ -44,17 +44,17 @@
 	return s.onceCall(c, request, key, honours)
 }
 
-func (s *Server) serviceRequest(c *call) (service.Request, environment.Operation, bool, *Problem) {
+func (s *Server) serviceRequest(c *call) (service.Request, environment.Operation, bool, *ProblemError) {
 	name := environment.ServiceName(mux.Vars(c.r)["service"])
-	fail := func(p *Problem) (service.Request, environment.Operation, bool, *Problem) {
+	fail := func(p *ProblemError) (service.Request, environment.Operation, bool, *ProblemError) {
 		return service.Request{}, environment.Operation{}, false, p
 	}
 	described, ok := c.grant.Document.Service(name)
 	if !ok {
-		return fail(&Problem{Status: http.StatusNotFound, Code: CodeUnknownService, Detail: "no such service"})
+		return fail(&ProblemError{Status: http.StatusNotFound, Code: CodeUnknownService, Detail: "no such service"})
 	}
 	if !c.grant.Tenant.MayUseService(name) {
-		return fail(&Problem{Status: http.StatusForbidden, Code: CodeForbidden, Detail: "the tenant may not use this service"})
+		return fail(&ProblemError{Status: http.StatusForbidden, Code: CodeForbidden, Detail: "the tenant may not use this service"})
 	}
 	path := strings.TrimPrefix(c.r.URL.EscapedPath(), "/services/"+string(name))
 	if path == "" {
@@ -62,7 +62,7 @@
 	}
 	operation, ok := described.Operation(c.r.Method, path)
 	if !ok {
-		return fail(&Problem{Status: http.StatusNotFound, Code: CodeUnknownMethod, Detail: "the service has no such operation"})
+		return fail(&ProblemError{Status: http.StatusNotFound, Code: CodeUnknownMethod, Detail: "the service has no such operation"})
 	}
 	body, problem := c.readBody()
 	if problem != nil {
@@ -74,7 +74,7 @@
 	}, operation, described.HonoursKeys, nil
 }
 
-func (s *Server) idempotentCall(c *call, request service.Request) *Problem {
+func (s *Server) idempotentCall(c *call, request service.Request) *ProblemError {
 	response, err := s.config.Services.Call(c.r.Context(), request)
 	s.config.Observer.ServiceCall(c.grant.Tenant.Name, c.grant.Tenant.Class, time.Since(c.began))
 	if err == nil {
@@ -83,9 +83,9 @@
 	}
 	var none *service.NoBackendError
 	if errors.As(err, &none) {
-		return &Problem{Status: http.StatusServiceUnavailable, Code: Code(claim.CodeNoBackend), Detail: "no backend server is available", RetryAfter: time.Second}
+		return &ProblemError{Status: http.StatusServiceUnavailable, Code: Code(claim.CodeNoBackend), Detail: "no backend server is available", RetryAfter: time.Second}
 	}
-	return &Problem{Status: http.StatusBadGateway, Code: CodeServiceFailed, Detail: "the service did not answer", RetryAfter: time.Second}
+	return &ProblemError{Status: http.StatusBadGateway, Code: CodeServiceFailed, Detail: "the service did not answer", RetryAfter: time.Second}
 }
 
 func (c *call) writeResponse(status int, contentType string, body []byte) {
@@ -98,10 +98,10 @@
 }
 
 // idempotencyKey parses the key of a non-idempotent call.
-func (c *call) idempotencyKey() (serviceKey, *Problem) {
+func (c *call) idempotencyKey() (serviceKey, *ProblemError) {
 	text := c.r.Header.Get(idempotencyHeader)
 	if text == "" {
-		return serviceKey{}, &Problem{
+		return serviceKey{}, &ProblemError{
 			Status: http.StatusBadRequest, Code: CodeKeyMissing, Outcome: claim.AnswerNotRun,
 			Detail: "send " + idempotencyHeader + " with a UUIDv7, made once for this request and kept for its repeats",
 		}
@@ -109,7 +109,7 @@
 	return parseKey(c.grant.Tenant.Name, text)
 }
 
-func parseKey(tenant environment.TenantName, text string) (serviceKey, *Problem) {
+func parseKey(tenant environment.TenantName, text string) (serviceKey, *ProblemError) {
 	plain, issuer, bound := strings.Cut(text, boundSeparator)
 	key := serviceKey{text: text, bound: bound}
 	id, err := uuid.Parse(plain)
@@ -117,7 +117,7 @@
 		key.issuer, err = uuid.Parse(issuer)
 	}
 	if err != nil || id.Version() != 7 {
-		return serviceKey{}, &Problem{
+		return serviceKey{}, &ProblemError{
 			Status: http.StatusBadRequest, Code: CodeKeyMalformed, Outcome: claim.AnswerNotRun,
 			Detail: "the key is not a UUIDv7 or one issued by /v1/keys",
 		}
@@ -138,7 +138,7 @@
 	return d
 }
 
-func (s *Server) onceCall(c *call, request service.Request, key serviceKey, honours bool) *Problem {
+func (s *Server) onceCall(c *call, request service.Request, key serviceKey, honours bool) *ProblemError {
 	tracker := s.config.Claims
 	if key.bound {
 		if key.issuer != s.config.Incarnation {
@@ -163,7 +163,7 @@
 
 // checkAge refuses a key that the log may have forgotten, unless the ledger
 // knows it.
-func (s *Server) checkAge(tracker *claim.Tracker, key serviceKey, now time.Time) *Problem {
+func (s *Server) checkAge(tracker *claim.Tracker, key serviceKey, now time.Time) *ProblemError {
 	state, covered := tracker.State(key.key)
 	if state.Phase != claim.Free {
 		return nil
@@ -171,12 +171,12 @@
 	made, _ := key.key.Time()
 	switch {
 	case made.After(now.Add(claim.ClockSkew)):
-		return &Problem{
+		return &ProblemError{
 			Status: http.StatusBadRequest, Code: CodeKeyFromFuture, Outcome: claim.AnswerUnknown,
 			Detail: "the key's time lies ahead; check the caller's clock",
 		}
 	case now.Sub(made) > claim.Window || !covered:
-		return &Problem{
+		return &ProblemError{
 			Status: http.StatusGone, Code: CodeKeyTooOld, Outcome: claim.AnswerUnknown,
 			Detail: "the key is older than what is still known; look the effect up at the service",
 		}
@@ -186,7 +186,7 @@
 
 // reply sends the final answer of a call that runs at most once. whole is the
 // response when this instance got it itself.
-func (c *call) reply(reply claim.Reply, whole *service.Response) *Problem {
+func (c *call) reply(reply claim.Reply, whole *service.Response) *ProblemError {
 	if reply.AttemptNotRun {
 		c.w.Header().Set(attemptHeader, attemptNotRunValue)
 	}
@@ -205,8 +205,8 @@
 	return nil
 }
 
-func replyProblem(reply claim.Reply) *Problem {
-	problem := &Problem{
+func replyProblem(reply claim.Reply) *ProblemError {
+	problem := &ProblemError{
 		Status: http.StatusServiceUnavailable, Code: Code(reply.Code),
 		Outcome: reply.Answer, RetryAfter: reply.RetryAfter,
 	}
@@ -230,13 +230,13 @@
 }
 
 // forward hands a call on to the instance that issued its key.
-func (s *Server) forward(c *call, request service.Request, key serviceKey) *Problem {
+func (s *Server) forward(c *call, request service.Request, key serviceKey) *ProblemError {
 	answer, ok := s.config.Forwarder.Forward(c.r.Context(), key.issuer, ForwardedCall{
 		Method: request.Method, Path: c.r.URL.EscapedPath(), Query: request.Query, Stage: c.r.Header.Get(stageHeader),
 		ContentType: request.ContentType, APIKey: c.apiKey, Key: key.text, Body: request.Body,
 	})
 	if !ok {
-		return &Problem{
+		return &ProblemError{
 			Status: http.StatusServiceUnavailable, Code: CodeKeyElsewhere, Outcome: claim.AnswerUnknown,
 			Detail: "the instance that issued the key cannot be reached", RetryAfter: time.Second,
 		}
@@ -257,17 +257,17 @@
 
 // issueKey makes a key that only this instance will dispatch, so that it also
 // works while the log is down.
-func (s *Server) issueKey(c *call) *Problem {
+func (s *Server) issueKey(c *call) *ProblemError {
 	id, err := uuid.NewV7()
 	if err != nil {
-		return &Problem{Status: http.StatusInternalServerError, Code: CodeInternal, Detail: "no key could be made"}
+		return &ProblemError{Status: http.StatusInternalServerError, Code: CodeInternal, Detail: "no key could be made"}
 	}
 	return c.writeJSON(http.StatusCreated, struct {
 		Key string `json:"key"`
 	}{id.String() + boundSeparator + s.config.Incarnation.String()})
 }
 
-func (s *Server) outcome(c *call) *Problem {
+func (s *Server) outcome(c *call) *ProblemError {
 	key, problem := parseKey(c.grant.Tenant.Name, mux.Vars(c.r)["key"])
 	if problem != nil {
 		problem.Outcome = ""
--- a/internal/logservice/claim/batcher.go
+++ b/internal/logservice/claim/batcher.go
@@ -28,22 +28,22 @@
 	isAppendResult()
 }
 
-// ClaimAppended gives the offset of the record that holds the claim.
-type ClaimAppended struct {
+// Appended gives the offset of the record that holds the claim.
+type Appended struct {
 	Offset logservice.Offset
 }
 
-// ClaimNotAppended says that the claim is not on the log and never will be.
-type ClaimNotAppended struct {
+// NotAppended says that the claim is not on the log and never will be.
+type NotAppended struct {
 	RetryAfter time.Duration
 }
 
-// ClaimMayAppear says that the claim may be on the log now, later or never.
-type ClaimMayAppear struct{}
+// MayAppear says that the claim may be on the log now, later or never.
+type MayAppear struct{}
 
-func (ClaimAppended) isAppendResult()    {}
-func (ClaimNotAppended) isAppendResult() {}
-func (ClaimMayAppear) isAppendResult()   {}
+func (Appended) isAppendResult()    {}
+func (NotAppended) isAppendResult() {}
+func (MayAppear) isAppendResult()   {}
 
 // BatcherStats counts what a batcher has done.
 type BatcherStats struct {
@@ -114,7 +114,7 @@
 	if len(b.claims) >= maxQueuedClaims {
 		b.stats.Refused++
 		b.mu.Unlock()
-		done(ClaimNotAppended{RetryAfter: b.drainTime()})
+		done(NotAppended{RetryAfter: b.drainTime()})
 		return
 	}
 	b.claims = append(b.claims, queuedClaim{claim: c, done: done})
@@ -208,13 +208,13 @@
 
 func claimResult(offset logservice.Offset, err error) AppendResult {
 	if err == nil {
-		return ClaimAppended{Offset: offset}
+		return Appended{Offset: offset}
 	}
 	var refused *logservice.RefusedError
 	if errors.As(err, &refused) {
-		return ClaimNotAppended{RetryAfter: refused.RetryAfter}
+		return NotAppended{RetryAfter: refused.RetryAfter}
 	}
-	return ClaimMayAppear{}
+	return MayAppear{}
 }
 
 func (b *Batcher) take() ([]queuedClaim, []Entry) {
--- a/internal/logservice/claim/call.go
+++ b/internal/logservice/claim/call.go
@@ -47,15 +47,15 @@
 	State State
 }
 
-// ClaimRead says that the ledger has read the record that holds the claim, so
+// Settled says that the ledger has read the record that holds the claim, so
 // that State is final about it.
-type ClaimRead struct {
+type Settled struct {
 	State State
 }
 
-// ClaimRefused says that the claim was not appended and never will be. Fresh
+// Refused says that the claim was not appended and never will be. Fresh
 // says that the ledger was read to the end of the log since the call began.
-type ClaimRefused struct {
+type Refused struct {
 	RetryAfter time.Duration
 	Fresh      bool
 }
@@ -78,8 +78,8 @@
 }
 
 func (KeyState) isEvent()     {}
-func (ClaimRead) isEvent()    {}
-func (ClaimRefused) isEvent() {}
+func (Settled) isEvent()      {}
+func (Refused) isEvent()      {}
 func (NotWritten) isEvent()   {}
 func (ResponseLost) isEvent() {}
 func (Answered) isEvent()     {}
@@ -176,10 +176,10 @@
 	switch e := event.(type) {
 	case KeyState:
 		return c.keyState(now, e.State)
-	case ClaimRead:
+	case Settled:
 		c.outstanding = false
 		return c.keyState(now, e.State)
-	case ClaimRefused:
+	case Refused:
 		return c.claimRefused(e)
 	case NotWritten:
 		return c.notWritten()
@@ -259,7 +259,7 @@
 	return []Action{Dispatch{}}
 }
 
-func (c *Call) claimRefused(e ClaimRefused) []Action {
+func (c *Call) claimRefused(e Refused) []Action {
 	c.outstanding = false
 	if c.phase != callClaiming {
 		return nil
--- a/internal/logservice/claim/ledger.go
+++ b/internal/logservice/claim/ledger.go
@@ -54,8 +54,7 @@
 	keys map[Key]*keyState
 	// since is the time from which on no record was missed. The zero time
 	// means that the stream was read from its first record.
-	since   time.Time
-	started bool
+	since time.Time
 	// resume is set when the records before the next one were trimmed.
 	resume bool
 }
--- a/internal/logservice/claim/local.go
+++ b/internal/logservice/claim/local.go
@@ -30,7 +30,7 @@
 
 // Claim implements Journal.
 func (j *LocalJournal) Claim(c Claim, done func(AppendResult)) {
-	done(ClaimAppended{Offset: j.take(c)})
+	done(Appended{Offset: j.take(c)})
 }
 
 // Record implements Journal.
--- a/internal/logservice/claim/tracker.go
+++ b/internal/logservice/claim/tracker.go
@@ -152,7 +152,7 @@
 	for key, runs := range t.runs {
 		for r := range runs {
 			if r.offset == record.Offset {
-				r.push(ClaimRead{State: t.ledger.State(key)})
+				r.push(Settled{State: t.ledger.State(key)})
 			}
 		}
 	}
@@ -241,7 +241,7 @@
 	defer t.mu.Unlock()
 	state := t.ledger.State(d.request.Claim.Key)
 	if d.run.offset >= 0 && t.ledger.Next() > d.run.offset {
-		d.run.push(ClaimRead{State: state})
+		d.run.push(Settled{State: state})
 	} else {
 		d.run.push(KeyState{State: state})
 	}
@@ -275,15 +275,15 @@
 
 func (d *callDriver) appended(ctx context.Context, result AppendResult) {
 	switch r := result.(type) {
-	case ClaimAppended:
+	case Appended:
 		d.tracker.appended(d, r.Offset)
-	case ClaimNotAppended:
+	case NotAppended:
 		go func() {
 			_ = d.tracker.refresh(ctx)
 			fresh := d.tracker.Fresh().After(d.began)
-			d.run.push(ClaimRefused{RetryAfter: r.RetryAfter, Fresh: fresh})
+			d.run.push(Refused{RetryAfter: r.RetryAfter, Fresh: fresh})
 		}()
-	case ClaimMayAppear:
+	case MayAppear:
 	}
 }
 
@@ -293,6 +293,6 @@
 	defer t.mu.Unlock()
 	d.run.offset = offset
 	if t.ledger.Next() > offset {
-		d.run.push(ClaimRead{State: t.ledger.State(d.request.Claim.Key)})
+		d.run.push(Settled{State: t.ledger.State(d.request.Claim.Key)})
 	}
 }
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -18,7 +18,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -159,7 +158,7 @@
 		}
 		return 0, &UncertainError{Stream: stream, Cause: err}
 	}
-	defer drain(response.Body)
+	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestEntityTooLarge:
@@ -197,7 +196,7 @@
 	if err != nil {
 		return Page{}, &UnavailableError{Stream: stream, Cause: err}
 	}
-	defer drain(response.Body)
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
 		return Page{}, &UnavailableError{Stream: stream, Cause: &StatusError{Status: response.StatusCode}}
 	}
@@ -218,15 +217,3 @@
 	}
 	return page
 }
-
-func drain(body io.ReadCloser) {
-	const enough = 1 << 16
-	_, _ = io.CopyN(io.Discard, body, enough)
-	_ = body.Close()
-}
-
-// IsTimeout reports whether an error is a network timeout.
-func IsTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/internal/operator/codec.go
+++ b/internal/operator/codec.go
@@ -79,13 +79,10 @@
 		})
 	}
 	for _, p := range s.Peers {
-		w.Peers = append(w.Peers, wirePeer{Instance: p.Instance, Zone: p.Zone})
+		w.Peers = append(w.Peers, wirePeer(p))
 	}
 	for _, r := range s.Runners {
-		w.Runners = append(w.Runners, wireRunner{
-			Runner: r.Runner, Zone: r.Zone, Model: r.Model, Version: r.Version,
-			Layers: r.Layers, Leaving: r.Leaving, Queued: r.Queued,
-		})
+		w.Runners = append(w.Runners, wireRunner(r))
 	}
 	return w
 }
@@ -102,13 +99,10 @@
 		})
 	}
 	for _, p := range w.Peers {
-		s.Peers = append(s.Peers, PeerState{Instance: p.Instance, Zone: p.Zone})
+		s.Peers = append(s.Peers, PeerState(p))
 	}
 	for _, r := range w.Runners {
-		s.Runners = append(s.Runners, RunnerState{
-			Runner: r.Runner, Zone: r.Zone, Model: r.Model, Version: r.Version,
-			Layers: r.Layers, Leaving: r.Leaving, Queued: r.Queued,
-		})
+		s.Runners = append(s.Runners, RunnerState(r))
 	}
 	return s
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	"github.com/gorilla/websocket"
 
@@ -144,7 +145,7 @@
 func NewEngine(config EngineConfig) *Engine {
 	e := &Engine{
 		config: config, version: config.Version,
-		incarnation: runner.SessionID(newUUID()).String(),
+		incarnation: uuid.NewString(),
 		sessions:    map[sessionKey]*stageSession{},
 		prefixes:    map[uint64]struct{}{},
 		conns:       map[*engineConn]struct{}{},
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/pkg/environment"
@@ -90,7 +89,3 @@
 	}
 	return hashes
 }
-
-func newUUID() uuid.UUID {
-	return uuid.New()
-}
