--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -25,7 +25,6 @@
 	CodeNotFound             Code = "not-found"
 	CodeKeyMissing           Code = "idempotency-key-missing"
 	CodeKeyMalformed         Code = "idempotency-key-malformed"
-	CodeKeyTooOld            Code = "idempotency-key-too-old"
 	CodeKeyFromFuture        Code = "idempotency-key-from-future"
 	CodeKeyElsewhere         Code = "idempotency-key-bound-elsewhere"
 	CodeTenantRate           Code = "tenant-rate-exceeded"
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -37,6 +37,7 @@
 	// BodyTimeout bounds how long a request's body may take to come in.
 	BodyTimeout = 10 * time.Second
 
+	servicesPrefix = "/services/"
 	expireInterval = 50 * time.Millisecond
 )
 
@@ -127,7 +128,7 @@
 	r.HandleFunc("/v1/models", s.serve(s.models)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/keys", s.serve(s.issueKey)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/outcomes/{key}", s.serve(s.outcome)).Methods(http.MethodGet)
-	r.PathPrefix("/services/{service}").HandlerFunc(s.serve(s.serviceCall))
+	r.PathPrefix(servicesPrefix + "{service}").HandlerFunc(s.serve(s.serviceCall))
 	r.NotFoundHandler = http.HandlerFunc(notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
 	r.UseEncodedPath()
@@ -208,7 +209,7 @@
 		w.Header().Set(requestIDHeader, c.id)
 		c.logger = s.config.Logger.With(zap.String("request-id", c.id), zap.String("zone", string(s.config.Zone)))
 		if problem := s.enter(); problem != nil {
-			problem.write(w)
+			s.finish(c, problem)
 			return
 		}
 		defer s.exit()
@@ -226,7 +227,7 @@
 	if s.leaving {
 		return &ProblemError{
 			Status: http.StatusServiceUnavailable, Code: CodeDraining, Detail: "this instance is leaving",
-			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
+			RetryAfter: time.Second,
 		}
 	}
 	select {
@@ -236,7 +237,7 @@
 	default:
 		return &ProblemError{
 			Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Detail: "too many requests are open",
-			Outcome: claim.AnswerUnknown, RetryAfter: time.Second,
+			RetryAfter: time.Second,
 		}
 	}
 }
@@ -276,9 +277,16 @@
 	s.config.Observer.Rejected(c.grant.Tenant.Name, c.grant.Tenant.Class, problem.Code)
 	c.logger.Info("request ended with a problem",
 		zap.String("code", string(problem.Code)), zap.Int("status", problem.Status), zap.Duration("took", time.Since(c.began)))
-	if !c.written {
-		problem.write(c.w)
+	if c.written {
+		return
+	}
+	if problem.Outcome == "" && strings.HasPrefix(c.r.URL.Path, servicesPrefix) {
+		// Turned away before the key was looked at: this attempt never runs,
+		// an earlier one under the same key may have.
+		problem.Outcome = claim.AnswerUnknown
+		c.w.Header().Set(attemptHeader, attemptNotRunValue)
 	}
+	problem.write(c.w)
 }
 
 // readBody returns the whole body, within its bounds.
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -56,7 +56,7 @@
 	if !c.grant.Tenant.MayUseService(name) {
 		return fail(&ProblemError{Status: http.StatusForbidden, Code: CodeForbidden, Detail: "the tenant may not use this service"})
 	}
-	path := strings.TrimPrefix(c.r.URL.EscapedPath(), "/services/"+string(name))
+	path := strings.TrimPrefix(c.r.URL.EscapedPath(), servicesPrefix+string(name))
 	if path == "" {
 		path = "/"
 	}
@@ -85,7 +85,7 @@
 	if errors.As(err, &none) {
 		return &ProblemError{Status: http.StatusServiceUnavailable, Code: Code(claim.CodeNoBackend), Detail: "no backend server is available", RetryAfter: time.Second}
 	}
-	return &ProblemError{Status: http.StatusBadGateway, Code: CodeServiceFailed, Detail: "the service did not answer", RetryAfter: time.Second}
+	return &ProblemError{Status: http.StatusBadGateway, Code: CodeServiceFailed, Outcome: claim.AnswerUnknown, Detail: "the service did not answer", RetryAfter: time.Second}
 }
 
 func (c *call) writeResponse(status int, contentType string, body []byte) {
@@ -164,8 +164,8 @@
 // checkAge refuses a key that the log may have forgotten, unless the ledger
 // knows it.
 func (s *Server) checkAge(tracker *claim.Tracker, key serviceKey, now time.Time) *ProblemError {
-	state, covered := tracker.State(key.key)
-	if state.Phase != claim.Free {
+	state := tracker.State(key.key)
+	if state.Phase != claim.Free && state.Phase != claim.Forgotten {
 		return nil
 	}
 	made, _ := key.key.Time()
@@ -175,11 +175,8 @@
 			Status: http.StatusBadRequest, Code: CodeKeyFromFuture, Outcome: claim.AnswerUnknown,
 			Detail: "the key's time lies ahead; check the caller's clock",
 		}
-	case now.Sub(made) > claim.Window || !covered:
-		return &ProblemError{
-			Status: http.StatusGone, Code: CodeKeyTooOld, Outcome: claim.AnswerUnknown,
-			Detail: "the key is older than what is still known; look the effect up at the service",
-		}
+	case now.Sub(made) > claim.Window || state.Phase == claim.Forgotten:
+		return replyProblem(claim.Reply{Answer: claim.AnswerUnknown, Code: claim.CodeKeyTooOld})
 	}
 	return nil
 }
@@ -224,6 +221,9 @@
 	case claim.CodeInProgress:
 		problem.Status = http.StatusConflict
 		problem.Detail = "another attempt under this key is under way"
+	case claim.CodeKeyTooOld:
+		problem.Status = http.StatusGone
+		problem.Detail = "the key is older than what is still known; look the effect up at the service"
 	case claim.CodeNone:
 	}
 	return problem
@@ -280,13 +280,10 @@
 			return s.forward(c, service.Request{Method: http.MethodGet}, key)
 		}
 	}
-	state, certain := tracker.Look(c.r.Context(), key.key, c.began)
+	state := tracker.Look(c.r.Context(), key.key)
 	answer := claim.AnswerUnknown
-	switch {
-	case state.Phase == claim.Ran:
+	if state.Phase == claim.Ran {
 		answer = claim.AnswerDone
-	case state.Phase == claim.Free && certain:
-		answer = claim.AnswerNotRun
 	}
 	c.w.Header().Set(outcomeHeader, string(answer))
 	return c.writeJSON(http.StatusOK, struct {
--- a/internal/daemon/documents.go
+++ b/internal/daemon/documents.go
@@ -41,12 +41,11 @@
 // refreshClaims reads the claims' stream to its end once.
 func (d *Daemon) refreshClaims(ctx context.Context, t *claim.Tracker) error {
 	for {
-		asked := time.Now()
 		page, err := d.log.Read(ctx, claim.Stream, t.Next(), 0)
 		if err != nil {
 			return err
 		}
-		t.Records(asked, time.Now(), page)
+		t.Records(time.Now(), page)
 		if len(page.Records) == 0 {
 			return nil
 		}
--- a/internal/logservice/claim/call.go
+++ b/internal/logservice/claim/call.go
@@ -34,6 +34,7 @@
 	CodeNoBackend      Code = "no-backend-server"
 	CodeOutcomeUnknown Code = "outcome-unknown"
 	CodeInProgress     Code = "in-progress"
+	CodeKeyTooOld      Code = "idempotency-key-too-old"
 )
 
 // Event is something that happened to a call.
@@ -53,11 +54,9 @@
 	State State
 }
 
-// Refused says that the claim was not appended and never will be. Fresh
-// says that the ledger was read to the end of the log since the call began.
+// Refused says that the claim was not appended and never will be.
 type Refused struct {
 	RetryAfter time.Duration
-	Fresh      bool
 }
 
 // NotWritten says that a dispatch wrote nothing to a backend server.
@@ -71,11 +70,8 @@
 	Response Response
 }
 
-// Tick says that time has passed. Fresh says that the ledger was read to the
-// end of the log since the call began.
-type Tick struct {
-	Fresh bool
-}
+// Tick says that time has passed.
+type Tick struct{}
 
 func (KeyState) isEvent()     {}
 func (Settled) isEvent()      {}
@@ -101,7 +97,8 @@
 
 // Reply gives the caller the final answer.
 type Reply struct {
-	// Answer is about the key: not-run means that no attempt under it ran.
+	// Answer is about the key: not-run means that no attempt under it that
+	// has begun ran or ever will. Only the owner of the key can tell.
 	Answer Answer
 	// AttemptNotRun says that this attempt did not run and never will, also
 	// where an earlier one under the same key may have.
@@ -166,11 +163,6 @@
 	return c.phase == callReplied && !c.outstanding
 }
 
-// Replied reports whether the caller got the final answer.
-func (c *Call) Replied() bool {
-	return c.phase == callReplied
-}
-
 // Step takes an event and returns what to do, in order.
 func (c *Call) Step(now time.Time, event Event) []Action {
 	switch e := event.(type) {
@@ -180,7 +172,7 @@
 		c.outstanding = false
 		return c.keyState(now, e.State)
 	case Refused:
-		return c.claimRefused(e)
+		return c.claimRefused(e.RetryAfter)
 	case NotWritten:
 		return c.notWritten()
 	case ResponseLost:
@@ -188,7 +180,7 @@
 	case Answered:
 		return c.answered(e.Response)
 	case Tick:
-		return c.tick(now, e.Fresh)
+		return c.tick(now)
 	}
 	return nil
 }
@@ -200,7 +192,7 @@
 	if c.phase == callDispatched || c.phase == callReplied {
 		return nil
 	}
-	if s.Phase != Free && s.Digest != c.claim.Digest {
+	if s.Phase != Free && s.Phase != Forgotten && s.Digest != c.claim.Digest {
 		return c.reply(Reply{Answer: AnswerNotRun, AttemptNotRun: true, Code: CodeKeyReused})
 	}
 	switch s.Phase {
@@ -212,12 +204,16 @@
 		return c.reply(Reply{Answer: AnswerDone, AttemptNotRun: true, Response: s.Response})
 	case Lost:
 		return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeOutcomeUnknown})
+	case Forgotten:
+		return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeKeyTooOld})
 	}
 	return nil
 }
 
-// free claims the key at the start. When another owner released the key, this
-// claim has lost already, and the caller comes back with a new attempt.
+// free claims the key at the start. Later a free key was released, which voids
+// this claim too; the caller comes back with a new attempt. This instance may
+// read the release late, when a newer attempt has run, so only the owner that
+// released the key could tell not-run.
 func (c *Call) free() []Action {
 	switch {
 	case c.phase == callNew:
@@ -225,11 +221,18 @@
 		c.outstanding = true
 		return []Action{Append{Entry: c.claim}}
 	case !c.outstanding || c.phase == callWaiting:
-		return c.notRun(CodeInProgress)
+		return c.superseded()
 	}
 	return nil
 }
 
+// superseded gives up an attempt that lost against another one.
+func (c *Call) superseded() []Action {
+	return c.reply(Reply{
+		Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeInProgress, RetryAfter: releaseRetryAfter,
+	})
+}
+
 // owner is called when the ledger says that this claim owns the key.
 func (c *Call) owner(now time.Time, s State) []Action {
 	c.outstanding = false
@@ -259,23 +262,19 @@
 	return []Action{Dispatch{}}
 }
 
-func (c *Call) claimRefused(e Refused) []Action {
+func (c *Call) claimRefused(retryAfter time.Duration) []Action {
 	c.outstanding = false
 	if c.phase != callClaiming {
 		return nil
 	}
-	return c.unclaimed(e.Fresh, e.RetryAfter)
+	return c.unclaimed(retryAfter)
 }
 
-// unclaimed gives up without a claim. Only a fresh ledger tells that no
-// earlier attempt under the key owns it.
-func (c *Call) unclaimed(fresh bool, retryAfter time.Duration) []Action {
-	answer := AnswerUnknown
-	if fresh {
-		answer = AnswerNotRun
-	}
+// unclaimed gives up without a claim. This attempt will never run, but an
+// earlier one under the key may have, or may still.
+func (c *Call) unclaimed(retryAfter time.Duration) []Action {
 	return c.reply(Reply{
-		Answer: answer, AttemptNotRun: true, Code: CodeLogUnavailable,
+		Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeLogUnavailable,
 		RetryAfter: max(retryAfter, releaseRetryAfter),
 	})
 }
@@ -330,17 +329,15 @@
 	return append(c.reply(Reply{Answer: AnswerDone, Response: response}), Append{Entry: outcome})
 }
 
-func (c *Call) tick(now time.Time, fresh bool) []Action {
+func (c *Call) tick(now time.Time) []Action {
 	switch c.phase {
 	case callClaiming:
 		if !now.Before(c.claimBy) {
-			return c.unclaimed(fresh, releaseRetryAfter)
+			return c.unclaimed(releaseRetryAfter)
 		}
 	case callWaiting:
 		if !now.Before(c.answerBy) {
-			return c.reply(Reply{
-				Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeInProgress, RetryAfter: releaseRetryAfter,
-			})
+			return c.superseded()
 		}
 	}
 	return nil
--- a/internal/logservice/claim/ledger.go
+++ b/internal/logservice/claim/ledger.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"slices"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/invariant"
@@ -15,8 +14,13 @@
 	// ClockSkew bounds how far the clocks of callers, instances and the log
 	// service may differ.
 	ClockSkew = 2 * time.Minute
+
+	markInterval = 10 * time.Minute
 )
 
+// noRelease stands for a key that was never released.
+const noRelease logservice.Offset = -1
+
 // Phase is the state of a key.
 type Phase uint8
 
@@ -30,6 +34,8 @@
 	Ran
 	// Lost: the call was dispatched and nobody knows what became of it.
 	Lost
+	// Forgotten: records that could name the key were missed.
+	Forgotten
 )
 
 // State is what the ledger knows about a key.
@@ -39,29 +45,26 @@
 	Digest      RequestDigest
 	Incarnation Incarnation
 	Response    Response
-}
-
-type keyState struct {
-	State
-	// released lists the claims that gave the key back. A late copy of one
-	// must not own the key again: its claimant will never dispatch.
-	released []ID
+	// Released is the offset of the last release, -1 if there was none.
+	Released logservice.Offset
 }
 
 // Ledger is the state of all keys up to an offset of the stream.
 type Ledger struct {
 	next logservice.Offset
-	keys map[Key]*keyState
+	keys map[Key]*State
 	// since is the time from which on no record was missed. The zero time
 	// means that the stream was read from its first record.
 	since time.Time
 	// resume is set when the records before the next one were trimmed.
 	resume bool
+	// last is the time of the last record, by the log's clock.
+	last time.Time
 }
 
 // NewLedger returns the state before the first record.
 func NewLedger() *Ledger {
-	return &Ledger{keys: map[Key]*keyState{}}
+	return &Ledger{keys: map[Key]*State{}}
 }
 
 // Next returns the offset of the record to apply next.
@@ -76,16 +79,31 @@
 
 // State returns what is known about a key.
 func (l *Ledger) State(key Key) State {
-	if k, ok := l.keys[key]; ok {
-		return k.State
+	if !l.covers(key) {
+		return State{Phase: Forgotten, Released: noRelease}
 	}
-	return State{}
+	return l.held(key)
 }
 
-// Covers reports whether every record that could name a key made at the given
-// time was read, so that an absent key is truly free.
-func (l *Ledger) Covers(made time.Time) bool {
-	return !l.resume && !made.Add(-ClockSkew).Before(l.since)
+func (l *Ledger) held(key Key) State {
+	if s, ok := l.keys[key]; ok {
+		return *s
+	}
+	return State{Released: noRelease}
+}
+
+// covers reports whether every record that could name a key was read. A reader
+// that missed the first claim would take a later one for the owner. A record
+// of the very time that reading started at may have been missed.
+func (l *Ledger) covers(key Key) bool {
+	if l.resume {
+		return false
+	}
+	if l.since.IsZero() {
+		return true
+	}
+	made, ok := key.Time()
+	return ok && made.Add(-ClockSkew).After(l.since)
 }
 
 // Trimmed says that the stream now starts at first, beyond Next. Keys older
@@ -108,6 +126,7 @@
 		return nil, err
 	}
 	l.next++
+	l.last = record.Time
 	if l.resume {
 		l.since, l.resume = record.Time, false
 	}
@@ -118,35 +137,33 @@
 	}
 	var changed []Key
 	for _, entry := range entries {
-		if key, ok := l.apply(entry); ok {
+		if key, ok := l.apply(record.Offset, entry); ok {
 			changed = append(changed, key)
 		}
 	}
 	return changed, nil
 }
 
-func (l *Ledger) apply(entry Entry) (Key, bool) {
+func (l *Ledger) apply(offset logservice.Offset, entry Entry) (Key, bool) {
 	switch e := entry.(type) {
 	case Claim:
 		return e.Key, l.claim(e)
 	case Outcome:
 		return e.Key, l.outcome(e)
 	case Release:
-		return e.Key, l.release(e)
+		return e.Key, l.release(offset, e)
 	}
 	return Key{}, false
 }
 
 func (l *Ledger) claim(c Claim) bool {
-	k, ok := l.keys[c.Key]
-	if !ok {
-		k = &keyState{}
-		l.keys[c.Key] = k
-	}
-	if k.Phase != Free || slices.Contains(k.released, c.ID) {
+	s := l.held(c.Key)
+	if s.Phase != Free || c.Seen <= s.Released {
 		return false
 	}
-	k.State = State{Phase: Owned, ID: c.ID, Digest: c.Digest, Incarnation: c.Incarnation}
+	l.keys[c.Key] = &State{
+		Phase: Owned, ID: c.ID, Digest: c.Digest, Incarnation: c.Incarnation, Released: s.Released,
+	}
 	return true
 }
 
@@ -166,16 +183,21 @@
 	return true
 }
 
-func (l *Ledger) release(r Release) bool {
+func (l *Ledger) release(offset logservice.Offset, r Release) bool {
 	k, ok := l.keys[r.Key]
 	if !ok || k.ID != r.ID || k.Phase != Owned {
 		return false
 	}
-	k.State = State{}
-	k.released = append(k.released, r.ID)
+	*k = State{Released: offset}
 	return true
 }
 
+// MarkDue reports whether the stream needs a Mark: nothing was written for
+// long, or this reader can't tell yet from when on it has read everything.
+func (l *Ledger) MarkDue(now time.Time) bool {
+	return l.resume || now.Sub(l.last) > markInterval
+}
+
 // Expire drops the keys that are too old to be taken.
 func (l *Ledger) Expire(now time.Time) {
 	oldest := now.Add(-Window - 2*ClockSkew)
@@ -196,6 +218,8 @@
 		return "ran"
 	case Lost:
 		return "lost"
+	case Forgotten:
+		return "forgotten"
 	}
 	return "invalid"
 }
--- a/internal/logservice/claim/local.go
+++ b/internal/logservice/claim/local.go
@@ -20,11 +20,7 @@
 // NewLocalTracker returns a tracker whose ledger lives in this process only.
 func NewLocalTracker() *Tracker {
 	journal := &LocalJournal{}
-	journal.tracker = NewTracker(journal, func(_ context.Context, t *Tracker) error {
-		now := time.Now()
-		t.Records(now, now, logservice.Page{})
-		return nil
-	})
+	journal.tracker = NewTracker(journal, func(context.Context, *Tracker) error { return nil })
 	return journal.tracker
 }
 
@@ -33,9 +29,12 @@
 	done(Appended{Offset: j.take(c)})
 }
 
-// Record implements Journal.
+// Record implements Journal. A local ledger misses nothing, so it needs no
+// marks.
 func (j *LocalJournal) Record(entry Entry) bool {
-	j.take(entry)
+	if _, ok := entry.(Mark); !ok {
+		j.take(entry)
+	}
 	return true
 }
 
@@ -49,7 +48,7 @@
 	}
 	offset := j.next
 	j.next++
-	j.tracker.Records(now, now, logservice.Page{
+	j.tracker.Records(now, logservice.Page{
 		Next:    j.next,
 		Records: []logservice.Record{{Offset: offset, Time: now, Body: body}},
 	})
--- a/internal/logservice/claim/record.go
+++ b/internal/logservice/claim/record.go
@@ -35,7 +35,8 @@
 // RequestDigest tells two requests under the same key apart.
 type RequestDigest [16]byte
 
-// Entry is one change of the ledger: a Claim, an Outcome or a Release.
+// Entry is one change of the ledger: a Claim, an Outcome, a
+// Release or a Mark.
 type Entry interface {
 	isEntry()
 }
@@ -46,6 +47,10 @@
 	ID          ID
 	Digest      RequestDigest
 	Incarnation Incarnation
+	// Seen is the offset up to which, excluded, the claimant had read the
+	// stream when the attempt began. A release at or after it voids the claim:
+	// whoever was told not-run on the strength of that release must stay right.
+	Seen logservice.Offset
 }
 
 // Result says what became of a dispatched call.
@@ -82,9 +87,14 @@
 	ID  ID
 }
 
+// Mark changes nothing. It keeps the stream from running empty, so that a
+// reader that starts late still knows from when on it has read everything.
+type Mark struct{}
+
 func (Claim) isEntry()   {}
 func (Outcome) isEntry() {}
 func (Release) isEntry() {}
+func (Mark) isEntry()    {}
 
 // Time returns when the key was made, read off its UUIDv7. It reports false
 // for a UUID of another version.
@@ -111,12 +121,14 @@
 	ContentType string    `cbor:"9,keyasint,omitempty"`
 	Body        []byte    `cbor:"10,keyasint,omitempty"`
 	Truncated   bool      `cbor:"11,keyasint,omitempty"`
+	Seen        int64     `cbor:"12,keyasint,omitempty"`
 }
 
 const (
 	wireClaim uint8 = iota + 1
 	wireOutcome
 	wireRelease
+	wireMark
 )
 
 // EncodeBatch returns the CBOR form of the entries of one record.
@@ -153,7 +165,7 @@
 	case Claim:
 		return wireEntry{
 			Kind: wireClaim, Tenant: string(e.Key.Tenant), UUID: e.Key.UUID, ID: e.ID,
-			Digest: e.Digest[:], Incarnation: e.Incarnation[:],
+			Digest: e.Digest[:], Incarnation: e.Incarnation[:], Seen: int64(e.Seen),
 		}
 	case Outcome:
 		return wireEntry{
@@ -163,6 +175,8 @@
 		}
 	case Release:
 		return wireEntry{Kind: wireRelease, Tenant: string(e.Key.Tenant), UUID: e.Key.UUID, ID: e.ID}
+	case Mark:
+		return wireEntry{Kind: wireMark}
 	}
 	return wireEntry{}
 }
@@ -171,7 +185,7 @@
 	key := Key{Tenant: environment.TenantName(w.Tenant), UUID: w.UUID}
 	switch w.Kind {
 	case wireClaim:
-		claim := Claim{Key: key, ID: w.ID}
+		claim := Claim{Key: key, ID: w.ID, Seen: logservice.Offset(w.Seen)}
 		copy(claim.Digest[:], w.Digest)
 		copy(claim.Incarnation[:], w.Incarnation)
 		return claim
@@ -181,6 +195,8 @@
 		}}
 	case wireRelease:
 		return Release{Key: key, ID: w.ID}
+	case wireMark:
+		return Mark{}
 	}
 	return nil
 }
--- a/internal/logservice/claim/tracker.go
+++ b/internal/logservice/claim/tracker.go
@@ -14,6 +14,7 @@
 	lingerTimeout = 2 * time.Minute
 	callEvents    = 16
 	expiryEvery   = time.Minute
+	markRetry     = 30 * time.Second
 )
 
 // DispatchResult says how one dispatch ended.
@@ -53,8 +54,8 @@
 
 	mu      sync.Mutex
 	ledger  *Ledger
-	fresh   time.Time
 	expired time.Time
+	marked  time.Time
 	runs    map[Key]map[*run]struct{}
 }
 
@@ -81,19 +82,20 @@
 }
 
 // Records implements logservice.Follower.
-func (t *Tracker) Records(asked, now time.Time, page logservice.Page) {
+func (t *Tracker) Records(now time.Time, page logservice.Page) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, record := range page.Records {
 		t.apply(record)
 	}
-	if t.ledger.Next() >= page.Next && asked.After(t.fresh) {
-		t.fresh = asked
-	}
 	if now.Sub(t.expired) >= expiryEvery {
 		t.expired = now
 		t.ledger.Expire(now)
 	}
+	if len(page.Records) == 0 && now.Sub(t.marked) >= markRetry && t.ledger.MarkDue(now) {
+		t.marked = now
+		t.journal.Record(Mark{})
+	}
 }
 
 // Trimmed implements logservice.Follower.
@@ -106,13 +108,6 @@
 // Failed implements logservice.Follower.
 func (t *Tracker) Failed(time.Time, error) {}
 
-// Fresh returns when the stream was last known to be read to its end.
-func (t *Tracker) Fresh() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.fresh
-}
-
 // Len returns the number of keys held.
 func (t *Tracker) Len() int {
 	t.mu.Lock()
@@ -120,22 +115,18 @@
 	return t.ledger.Len()
 }
 
-// State returns what is known about a key, and whether an absent key is known
-// to be free.
-func (t *Tracker) State(key Key) (state State, covered bool) {
+// State returns what is known about a key.
+func (t *Tracker) State(key Key) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	made, ok := key.Time()
-	return t.ledger.State(key), ok && t.ledger.Covers(made)
+	return t.ledger.State(key)
 }
 
-// Look returns what is known about a key after reading the stream to its end.
-// certain is false when that failed, or when a free key may have been
-// forgotten.
-func (t *Tracker) Look(ctx context.Context, key Key, now time.Time) (state State, certain bool) {
+// Look returns what is known about a key after reading the stream to its end,
+// as far as that can be reached.
+func (t *Tracker) Look(ctx context.Context, key Key) State {
 	_ = t.refresh(ctx)
-	state, covered := t.State(key)
-	return state, covered && t.Fresh().After(now)
+	return t.State(key)
 }
 
 // apply takes a record and tells the calls that it concerns.
@@ -171,6 +162,7 @@
 // goes on to its end also when ctx ends.
 func (t *Tracker) Run(ctx context.Context, request Request) Reply {
 	replies := make(chan Reply, 1)
+	request.Claim.Seen = t.Next()
 	d := &callDriver{
 		tracker: t, request: request, began: time.Now(),
 		run:     &run{events: make(chan Event, callEvents), offset: -1},
@@ -245,7 +237,7 @@
 	} else {
 		d.run.push(KeyState{State: state})
 	}
-	return Tick{Fresh: t.fresh.After(d.began)}
+	return Tick{}
 }
 
 func (d *callDriver) execute(ctx context.Context, actions []Action) {
@@ -254,7 +246,7 @@
 		actions = actions[1:]
 		switch a := action.(type) {
 		case Append:
-			d.append(ctx, a.Entry)
+			d.append(a.Entry)
 		case Dispatch:
 			result := d.request.Dispatcher.Dispatch(ctx)
 			actions = append(actions, d.call.Step(time.Now(), result.(Event))...)
@@ -264,25 +256,21 @@
 	}
 }
 
-func (d *callDriver) append(ctx context.Context, entry Entry) {
+func (d *callDriver) append(entry Entry) {
 	claim, ok := entry.(Claim)
 	if !ok {
 		d.tracker.journal.Record(entry)
 		return
 	}
-	d.tracker.journal.Claim(claim, func(result AppendResult) { d.appended(ctx, result) })
+	d.tracker.journal.Claim(claim, d.appended)
 }
 
-func (d *callDriver) appended(ctx context.Context, result AppendResult) {
+func (d *callDriver) appended(result AppendResult) {
 	switch r := result.(type) {
 	case Appended:
 		d.tracker.appended(d, r.Offset)
 	case NotAppended:
-		go func() {
-			_ = d.tracker.refresh(ctx)
-			fresh := d.tracker.Fresh().After(d.began)
-			d.run.push(Refused{RetryAfter: r.RetryAfter, Fresh: fresh})
-		}()
+		d.run.push(Refused{RetryAfter: r.RetryAfter})
 	case MayAppear:
 	}
 }
--- a/internal/logservice/document/keeper.go
+++ b/internal/logservice/document/keeper.go
@@ -95,7 +95,7 @@
 }
 
 // Records implements logservice.Follower.
-func (k *Keeper) Records(_, now time.Time, page logservice.Page) {
+func (k *Keeper) Records(now time.Time, page logservice.Page) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, record := range page.Records {
--- a/internal/logservice/tail.go
+++ b/internal/logservice/tail.go
@@ -21,9 +21,8 @@
 type Follower interface {
 	// Next returns the offset to read from.
 	Next() Offset
-	// Records gets the page's records in order; the page may be empty. asked is
-	// when the page was asked for.
-	Records(asked, now time.Time, page Page)
+	// Records gets the page's records in order; the page may be empty.
+	Records(now time.Time, page Page)
 	// Trimmed says that the stream now starts at first, beyond Next.
 	Trimmed(now time.Time, first Offset)
 	// Failed says that a read failed.
@@ -34,7 +33,6 @@
 func Tail(ctx context.Context, reader Reader, stream StreamName, follower Follower) {
 	backoff := tailBackoffMin
 	for ctx.Err() == nil {
-		asked := time.Now()
 		page, err := reader.Read(ctx, stream, follower.Next(), tailWait)
 		if ctx.Err() != nil {
 			return
@@ -44,7 +42,7 @@
 		switch {
 		case err == nil:
 			backoff = tailBackoffMin
-			follower.Records(asked, now, page)
+			follower.Records(now, page)
 			continue
 		case errors.As(err, &trimmed):
 			follower.Trimmed(now, trimmed.First)
