--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/tools/txtar"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/internal/service"
+	"mulberryhead.org/mulberryhead/internal/standin"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const (
+	testKey    = "tenant-key"
+	testLayers = 4
+)
+
+// deployment is one entry instance's server before stand-ins in this process.
+type deployment struct {
+	server  *Server
+	front   *httptest.Server
+	engine  *httptest.Server
+	service *standin.Service
+	pool    *engine.Pool
+}
+
+type noObserver struct{}
+
+func (noObserver) Rejected(environment.TenantName, environment.ClassName, Code)               {}
+func (noObserver) FirstToken(environment.TenantName, environment.ClassName, time.Duration)    {}
+func (noObserver) BetweenTokens(environment.TenantName, environment.ClassName, time.Duration) {}
+func (noObserver) Answer(environment.TenantName, environment.ClassName, time.Duration)        {}
+func (noObserver) ServiceCall(environment.TenantName, environment.ClassName, time.Duration)   {}
+func (noObserver) Outcome(claim.Answer)                                                       {}
+
+type noForwarder struct{}
+
+func (noForwarder) Forward(context.Context, claim.Incarnation, ForwardedCall) (ForwardedAnswer, bool) {
+	return ForwardedAnswer{}, false
+}
+
+const testDocument = `environment = "bench"
+[[model]]
+name = "guide"
+version = "v1"
+layers = 4
+[[model]]
+name = "members"
+version = "v1"
+layers = 4
+[[service]]
+name = "orders"
+[[service.operation]]
+method = "POST"
+path = "/bookings"
+[[service.operation]]
+method = "GET"
+path = "/bookings"
+idempotent = true
+[[service]]
+name = "shares"
+[[service.operation]]
+method = "GET"
+path = "/"
+idempotent = true
+[[class]]
+name = "normal"
+[[tenant]]
+name = "apprentices"
+key-sha256 = "%s"
+class = "normal"
+weight = 1
+requests-per-second = 1000
+concurrent = 100
+models = ["guide"]
+services = ["orders"]
+`
+
+func newDeployment(t testing.TB) *deployment {
+	t.Helper()
+	doc, err := environment.Parse("test", fmt.Appendf(nil, testDocument, environment.HashKey(testKey)))
+	assert.NilError(t, err)
+	d := &deployment{service: standin.NewService(standin.ServiceConfig{}), pool: engine.NewPool("zone-a")}
+	d.engine = httptest.NewServer(standin.NewEngine(standin.EngineConfig{
+		ID: "e1", Model: "guide", Version: "v1", Layers: testLayers, Range: runner.LayerRange{End: testLayers},
+		BatchCost: 2 * time.Millisecond,
+	}).Handler())
+	orders := httptest.NewServer(d.service.Handler())
+	t.Cleanup(d.engine.CloseClientConnections)
+	t.Cleanup(orders.Close)
+	d.pool.Update(func(f *engine.Fleet) {
+		f.SetInstances([]instancelist.Instance{{ID: "e1", Zone: "zone-a", Address: d.engine.Listener.Addr().String()}})
+	})
+	report, err := engine.NewStatusClient().Fetch(t.Context(), "e1", d.engine.Listener.Addr().String())
+	assert.NilError(t, err)
+	d.pool.Update(func(f *engine.Fleet) { f.Reported(time.Now(), "e1", report) })
+	services := service.NewClient("zone-a")
+	services.SetInstances([]instancelist.Instance{{ID: "s1", Zone: "zone-a", Address: orders.Listener.Addr().String(), Serves: "orders"}})
+	catalog := NewCatalog()
+	catalog.Set(environment.Production, doc)
+	d.server = NewServer(Config{
+		Instance: "entry", Zone: "zone-a", Incarnation: uuid.New(), Catalog: catalog, Pool: d.pool, Services: services,
+		Claims: claim.NewLocalTracker(), Local: claim.NewLocalTracker(), Forwarder: noForwarder{}, Observer: noObserver{},
+		Logger: zap.NewNop(), ConcurrentAnswers: 8, ConcurrentRequests: 16,
+	})
+	d.front = httptest.NewServer(d.server.Handler())
+	t.Cleanup(d.front.Close)
+	return d
+}
+
+func (d *deployment) engineStatus(t testing.TB) standin.EngineStatus {
+	t.Helper()
+	response, err := http.Get(d.engine.URL + "/v1/status")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var status standin.EngineStatus
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&status))
+	return status
+}
+
+// TestRequests sends the requests of testdata/requests. Each archive holds a
+// request as it goes over the wire and what the answer must contain, a line
+// each. {key} stands for the tenant's key, {fresh} for a new UUIDv7 that stays
+// the same inside one archive, {old} and {future} for UUIDv7s of other times.
+func TestRequests(t *testing.T) {
+	files, err := filepath.Glob("testdata/requests/*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			d := newDeployment(t)
+			replacer := strings.NewReplacer(
+				"{key}", testKey, "{fresh}", uuid.Must(uuid.NewV7()).String(),
+				"{old}", "01863b2c-0000-7000-8000-000000000000", "{future}", "7fffffff-0000-7000-8000-000000000000",
+				"{long}", strings.Repeat("x", MaxBodyBytes+1),
+			)
+			for i := 0; i+1 < len(archive.Files); i += 2 {
+				answer := d.send(t, replacer.Replace(string(archive.Files[i].Data)))
+				for _, want := range strings.Split(strings.TrimSpace(string(archive.Files[i+1].Data)), "\n") {
+					assert.Assert(t, strings.Contains(answer, want), "%s: no %q in\n%s", archive.Files[i].Name, want, answer)
+				}
+			}
+			assert.Equal(t, d.engineStatus(t).Queued, 0)
+		})
+	}
+}
+
+// send sends a request written as a line with method and path, header lines,
+// an empty line and a body, and returns the whole answer as text.
+func (d *deployment) send(t *testing.T, text string) string {
+	t.Helper()
+	head, body, _ := strings.Cut(text, "\n\n")
+	lines := strings.Split(strings.TrimSpace(head), "\n")
+	method, path, _ := strings.Cut(lines[0], " ")
+	request, err := http.NewRequestWithContext(t.Context(), method, d.front.URL+path, strings.NewReader(strings.TrimSpace(body)))
+	assert.NilError(t, err)
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, ": ")
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	var answer bytes.Buffer
+	fmt.Fprintln(&answer, response.Status)
+	assert.NilError(t, response.Header.Write(&answer))
+	_, err = io.Copy(&answer, response.Body)
+	assert.NilError(t, err)
+	return answer.String()
+}
+
+// TestVanishingCaller cuts a streamed answer off and looks whether the engine
+// is told.
+func TestVanishingCaller(t *testing.T) {
+	d := newDeployment(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	body := `{"model":"guide","messages":[{"role":"user","content":"a long story"}],"max_tokens":4000,"stream":true}`
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.front.URL+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(line, "data: "), line)
+	assert.Equal(t, d.engineStatus(t).Sessions, 1)
+	cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		status := d.engineStatus(t)
+		d.server.mu.Lock()
+		defer d.server.mu.Unlock()
+		if status.Sessions == 0 && status.Queued == 0 && d.server.admission.Running() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("sessions %d, running %d", status.Sessions, d.server.admission.Running())
+	})
+}
+
+// TestLeavingFinishesWhatRuns starts an answer, asks the server to leave, and
+// reads the answer to its end.
+func TestLeavingFinishesWhatRuns(t *testing.T) {
+	d := newDeployment(t)
+	body := `{"model":"guide","messages":[{"role":"user","content":"a story"}],"max_tokens":100,"stream":true}`
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, d.front.URL+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	d.server.Leave()
+	refused := d.send(t, "GET /v1/models\nAuthorization: Bearer "+testKey)
+	assert.Assert(t, strings.Contains(refused, string(CodeDraining)), refused)
+	whole, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(whole), "data: [DONE]\n\n"))
+	assert.NilError(t, d.server.Wait(t.Context()))
+}
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -23,7 +23,7 @@
 	outcome := ""
 	for attempt := 0; attempt <= g.options.Resend; attempt++ {
 		var answer error
-		outcome, _, answer = g.client.post(ctx, g.address(a.number+attempt), g.options, key.String(), body)
+		outcome, answer = g.client.post(ctx, g.address(a.number+attempt), g.options, key.String(), body)
 		var refused *ProblemError
 		switch {
 		case errors.As(answer, &refused):
@@ -44,7 +44,7 @@
 // Book makes one call under a key and returns the outcome that was told,
 // unknown if there was no answer.
 func Book(ctx context.Context, o Options, key string) string {
-	outcome, _, err := newHTTPClient().post(ctx, o.Callers[0], o, key, []byte(`{"batch":"hinges"}`))
+	outcome, err := newHTTPClient().post(ctx, o.Callers[0], o, key, []byte(`{"batch":"hinges"}`))
 	var refused *ProblemError
 	if err != nil && !errors.As(err, &refused) {
 		return "unknown"
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -158,24 +158,23 @@
 }
 
 // post makes a call under a key and returns its outcome.
-func (c *httpClient) post(ctx context.Context, address string, o Options, key string, body []byte) (outcome string, answer []byte, err error) {
+func (c *httpClient) post(ctx context.Context, address string, o Options, key string, body []byte) (outcome string, err error) {
 	request, err := c.request(ctx, http.MethodPost, "http://"+address+"/services/"+o.Service+o.CallPath, o, body)
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	request.Header.Set("Idempotency-Key", key)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return "", nil, &CutError{Cause: err}
+		return "", &CutError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.Header.Get("Content-Type") == "application/problem+json" {
 		err := problem(response)
-		return response.Header.Get("Mulberryhead-Outcome"), nil, err
+		return response.Header.Get("Mulberryhead-Outcome"), err
 	}
-	answer, err = io.ReadAll(response.Body)
-	if err != nil {
-		return "", nil, &CutError{Cause: err}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "", &CutError{Cause: err}
 	}
-	return response.Header.Get("Mulberryhead-Outcome"), answer, nil
+	return response.Header.Get("Mulberryhead-Outcome"), nil
 }
--- a/internal/tomlpos/tomlpos.go
+++ b/internal/tomlpos/tomlpos.go
@@ -64,10 +64,16 @@
 type Problems struct {
 	file  string
 	items []Problem
+	// broken is set when decoding stopped, so that values are missing.
+	broken bool
 }
 
-// Add records a fault of the value at key.
+// Add records a fault of the value at key. Where the file could not be decoded
+// to its end, it records nothing: the value may just not have been reached.
 func (p *Problems) Add(index Index, key, what, mend string) {
+	if p.broken {
+		return
+	}
 	p.items = append(p.items, Problem{File: p.file, Line: index.Line(key), Key: key, What: what, Mend: mend})
 }
 
@@ -116,6 +122,7 @@
 		// The strict decoder has already filled every known key.
 		return index, problems
 	}
+	problems.broken = true
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
