--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,154 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberryhead.org/mulberryhead/internal/hashmodel"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/internal/standin"
+)
+
+const (
+	benchLayers = 12
+	benchTokens = 64
+	benchHops   = 3
+)
+
+// benchFleet starts engines in this process that cost nothing, and a pool that
+// knows them.
+func benchFleet(b *testing.B) (*Pool, Path) {
+	pool := NewPool("zone-a")
+	var path Path
+	var list []instancelist.Instance
+	for i := range benchHops {
+		r := runner.LayerRange{First: i * benchLayers / benchHops, End: (i + 1) * benchLayers / benchHops}
+		id := runner.ID(fmt.Sprint("e", i))
+		server := httptest.NewServer(standin.NewEngine(standin.EngineConfig{
+			ID: id, Model: "m", Version: "v1", Layers: benchLayers, Range: r,
+		}).Handler())
+		address := server.Listener.Addr().String()
+		path = append(path, Hop{Runner: id, Address: address, Range: r})
+		list = append(list, instancelist.Instance{ID: instancelist.ID(id), Zone: "zone-a", Address: address})
+	}
+	pool.Update(func(f *Fleet) {
+		f.SetInstances(list)
+		for _, hop := range path {
+			f.Reported(time.Now(), hop.Runner, Report{Model: "m", Version: "v1", Layers: benchLayers, Range: hop.Range})
+		}
+	})
+	return pool, path
+}
+
+// processorTime is what this process, engines included, has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHop compares ways to carry a token over a hop. Each operation is
+// one answer of benchTokens tokens over benchHops hops.
+func BenchmarkHop(b *testing.B) {
+	for _, sessions := range []int{1, 64} {
+		b.Run(fmt.Sprintf("one-request-per-hop/sessions-%d", sessions), func(b *testing.B) {
+			_, path := benchFleet(b)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+			measureHops(b, sessions, func() error { return answerByRequests(client, path) })
+		})
+		b.Run(fmt.Sprintf("one-stream-per-runner/sessions-%d", sessions), func(b *testing.B) {
+			pool, _ := benchFleet(b)
+			measureHops(b, sessions, func() error { return answerByPool(pool) })
+		})
+	}
+}
+
+func measureHops(b *testing.B, sessions int, answer func() error) {
+	b.Helper()
+	before := processorTime()
+	b.ResetTimer()
+	var running sync.WaitGroup
+	for range sessions {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for range max(1, b.N/sessions) {
+				if err := answer(); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	running.Wait()
+	b.StopTimer()
+	hops := float64(max(1, b.N/sessions) * sessions * benchTokens * benchHops)
+	b.ReportMetric(float64(processorTime()-before)/hops, "cpu-ns/hop")
+	b.ReportMetric(hops/b.Elapsed().Seconds(), "hops/s")
+}
+
+var benchPrompt = hashmodel.Tokenize("which flux suits a steel hinge")
+
+func answerByPool(pool *Pool) error {
+	return pool.Generate(context.Background(), Request{
+		Model: "m", Version: "v1", Layers: benchLayers, Prompt: benchPrompt, MaxTokens: benchTokens,
+	}, func(hashmodel.Token) error { return nil })
+}
+
+func answerByRequests(client *http.Client, path Path) error {
+	session := uuid.New()
+	tokens := benchPrompt
+	position := runner.Position(0)
+	for range benchTokens {
+		step := runner.Step{Session: session, Epoch: 1, Position: position, Model: "m", Version: "v1", Tokens: tokens}
+		count := step.Count()
+		for _, hop := range path {
+			step.Range = hop.Range
+			reply, err := stepByRequest(client, hop, step)
+			if err != nil {
+				return err
+			}
+			step.Tokens, step.Hidden = nil, reply.Hidden
+			tokens = []hashmodel.Token{reply.Token}
+		}
+		position += runner.Position(count)
+	}
+	return nil
+}
+
+func stepByRequest(client *http.Client, hop Hop, step runner.Step) (runner.Reply, error) {
+	data, err := runner.EncodeFrame(runner.Frame{Steps: []runner.Step{step}})
+	if err != nil {
+		return runner.Reply{}, err
+	}
+	response, err := client.Post("http://"+hop.Address+"/v1/step", "application/cbor", bytes.NewReader(data))
+	if err != nil {
+		return runner.Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return runner.Reply{}, err
+	}
+	frame, err := runner.DecodeFrame(answer)
+	if err != nil {
+		return runner.Reply{}, err
+	}
+	if len(frame.Replies) != 1 || frame.Replies[0].Status != runner.StepRan {
+		return runner.Reply{}, fmt.Errorf("unexpected reply %+v", frame)
+	}
+	return frame.Replies[0], nil
+}
