Poison requests, slow runners and prefix affinity

Ruled out: counting every lost stream as a crash. A silent or reset connection is no crash; the runner is asked whether it is still the same process.

Conclusion: an answer leaves a runner after two slow steps when it has enough tokens left; suspects run apart from each other, bounded by 400 ms.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -171,6 +171,7 @@
 	err := s.config.Pool.Generate(c.r.Context(), engine.Request{
 		Model: g.model.Name, Version: g.model.Version, Layers: g.model.Layers,
 		Priority: class.Priority, Prompt: g.prompt, MaxTokens: g.maxTokens,
+		Fingerprint: engine.FingerprintOf(tenant.Name, g.model.Name, g.prompt),
 	}, emit)
 	if err != nil {
 		return out.fail(answerProblem(err))
@@ -191,6 +192,9 @@
 			problem.Code, problem.Detail = CodeNoRunners, "no runners cover all layers of the model"
 		case engine.FailInvariant:
 			problem.Status, problem.Code = http.StatusInternalServerError, CodeInternal
+		case engine.FailQuarantined:
+			problem.Status, problem.Code, problem.RetryAfter = http.StatusUnprocessableEntity, CodeQuarantined, 0
+			problem.Detail = "the request was running on two runners when they crashed; it is not run again"
 		case engine.FailTooManyPaths:
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,9 @@
 		Self:     peer.Hello{Instance: settings.Instance, Incarnation: d.incarnation, Zone: settings.Zone, Region: settings.Region},
 		Receiver: d, Logger: d.logger,
 	})
+	d.pool.OnCrash(func(request engine.Fingerprint, incarnation string) {
+		d.mesh.Broadcast(peer.CrashNotice{Request: request, Runner: incarnation})
+	})
 	d.callers = caller.NewServer(caller.Config{
 		Instance: settings.Instance, Zone: settings.Zone, Incarnation: d.incarnation,
 		Catalog: d.catalog, Pool: d.pool, Services: d.services, Claims: d.claims, Local: d.local,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -39,6 +39,8 @@
 		}
 	case peer.Loads:
 		d.takeLoads(m)
+	case peer.CrashNotice:
+		d.pool.Crashed(time.Now(), m.Request, m.Runner)
 	}
 }
 
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -28,7 +28,18 @@
 	remotePenalty = time.Hour
 	// ejectedPenalty keeps ejected runners out unless no path exists without.
 	ejectedPenalty = 24 * time.Hour
-	defaultCost    = 2 * time.Millisecond
+	// engineBatch is the number of steps that engines run in one batch.
+	engineBatch = 64
+	defaultCost = 2 * time.Millisecond
+	// observedWeight is the weight of the newest observation, observedMemory
+	// how long observations count once none is made any more.
+	observedWeight = 0.3
+	observedMemory = 2 * time.Second
+	// prefixBlock is the number of positions that a prefix cache keeps
+	// together, prefixMemory how long a block is believed to stay cached.
+	prefixBlock  = 16
+	prefixMemory = time.Minute
+	maxPrefixes  = 4096
 )
 
 // Report is what a runner says about itself.
@@ -60,6 +71,11 @@
 	inFlight int
 	failures int
 	ejected  time.Time
+	// observed is how long a step of one position has taken lately.
+	observed   time.Duration
+	observedAt time.Time
+	// prefixes holds when a prompt block was last sent to the runner.
+	prefixes map[uint64]time.Time
 }
 
 // Hop is one runner of a path.
@@ -144,6 +160,7 @@
 	restarted = r.Report.Incarnation != "" && r.Report.Incarnation != report.Incarnation
 	if restarted {
 		r.failures, r.ejected = 0, time.Time{}
+		r.prefixes = nil
 	}
 	r.Report, r.reported = report, at
 	return restarted
@@ -190,6 +207,9 @@
 	Positions int
 	// Avoid lists runners that this request must not use.
 	Avoid map[runner.ID]bool
+	// Prefixes holds the hash of each whole block of the prompt, with all
+	// before it.
+	Prefixes []uint64
 }
 
 // Choose returns the cheapest path for a query: in the own availability zone
@@ -206,7 +226,7 @@
 		if !reached[from] {
 			continue
 		}
-		total := best[from] + f.cost(now, r, q.Positions)
+		total := best[from] + f.cost(now, r, &q)
 		if !reached[to] || total < best[to] {
 			best[to], via[to], reached[to] = total, r, true
 		}
@@ -217,7 +237,7 @@
 	var path Path
 	for at := q.Layers; at > 0; at = via[at].Report.Range.First {
 		r := via[at]
-		hop := Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, q.Positions)}
+		hop := Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, &q)}
 		path = append(Path{hop}, path...)
 	}
 	return path, nil
@@ -249,8 +269,8 @@
 
 // cost ranks a runner: its predicted time, and penalties that put runners of
 // other zones and ejected ones behind all others.
-func (f *Fleet) cost(now time.Time, r *Runner, positions int) time.Duration {
-	cost := f.busy(now, r, positions)
+func (f *Fleet) cost(now time.Time, r *Runner, q *Query) time.Duration {
+	cost := f.busy(now, r, q)
 	if r.Zone != f.zone {
 		cost += remotePenalty
 	}
@@ -261,14 +281,68 @@
 }
 
 // busy predicts how long a runner takes for its part of a first pass.
-func (f *Fleet) busy(now time.Time, r *Runner, positions int) time.Duration {
+func (f *Fleet) busy(now time.Time, r *Runner, q *Query) time.Duration {
 	perStep := r.Report.BatchCost + r.Report.PositionCost
 	if perStep <= 0 {
 		perStep = defaultCost
 	}
-	busy := perStep + time.Duration(max(positions-1, 0))*r.Report.PositionCost
-	busy += time.Duration(f.backlog(now, r) * float64(perStep))
-	return busy + r.Report.RoundTrip
+	positions := max(q.Positions-r.cached(now, q.Prefixes), 1)
+	busy := perStep + time.Duration(positions-1)*r.Report.PositionCost
+	busy += time.Duration(f.backlog(now, r) * float64(r.perQueued(perStep)))
+	busy += r.Report.RoundTrip
+	if now.Sub(r.observedAt) < observedMemory {
+		busy = max(busy, r.observed)
+	}
+	return busy
+}
+
+// perQueued is what one queued step adds: in a batch the cost of the batch is
+// shared.
+func (r *Runner) perQueued(perStep time.Duration) time.Duration {
+	if r.Report.BatchCost <= 0 {
+		return perStep
+	}
+	return r.Report.PositionCost + r.Report.BatchCost/engineBatch
+}
+
+// cached returns how many positions of a prompt the runner is believed to hold
+// in its prefix cache, by what was sent to it.
+func (r *Runner) cached(now time.Time, prefixes []uint64) int {
+	blocks := 0
+	for _, hash := range prefixes {
+		if sent, ok := r.prefixes[hash]; !ok || now.Sub(sent) > prefixMemory {
+			break
+		}
+		blocks++
+	}
+	return blocks * prefixBlock
+}
+
+// Prefilled notes that a prompt was sent to a runner.
+func (f *Fleet) Prefilled(now time.Time, id runner.ID, prefixes []uint64) {
+	r, ok := f.runners[id]
+	if !ok || len(prefixes) == 0 {
+		return
+	}
+	if r.prefixes == nil || len(r.prefixes) > maxPrefixes {
+		r.prefixes = map[uint64]time.Time{}
+	}
+	for _, hash := range prefixes {
+		r.prefixes[hash] = now
+	}
+}
+
+// Observed takes how long a runner took for a step of one position.
+func (f *Fleet) Observed(now time.Time, id runner.ID, took time.Duration) {
+	r, ok := f.runners[id]
+	if !ok {
+		return
+	}
+	if now.Sub(r.observedAt) >= observedMemory {
+		r.observed = took
+	}
+	r.observed += time.Duration(observedWeight * float64(took-r.observed))
+	r.observedAt = now
 }
 
 // backlog is the work before a new step: the runner's own report, which counts
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,7 +18,13 @@
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-const sessionEvents = 64
+const (
+	sessionEvents     = 64
+	crashCheckTimeout = 250 * time.Millisecond
+	// A suspect waits up to isolationPatience for runners without others.
+	isolationPatience = 400 * time.Millisecond
+	isolationRetry    = 20 * time.Millisecond
+)
 
 // FailedError says that an answer could not be made whole.
 type FailedError struct {
@@ -35,6 +44,8 @@
 	Priority  int
 	Prompt    []hashmodel.Token
 	MaxTokens int
+	// Fingerprint tells requests apart that may crash runners.
+	Fingerprint Fingerprint
 }
 
 // Counts is what a pool has seen so far.
@@ -47,10 +58,13 @@
 
 // Pool makes answers with the runners of a fleet.
 type Pool struct {
-	dials singleflight.Group
+	dials  singleflight.Group
+	status *StatusClient
 
 	mu       sync.Mutex
 	fleet    *Fleet
+	suspects *Suspects
+	notify   func(request Fingerprint, incarnation string)
 	streams  map[runner.ID]*runner.Stream
 	sessions map[runner.SessionID]*running
 	counts   Counts
@@ -62,12 +76,17 @@
 	at      runner.ID
 	stream  *runner.Stream
 	session *Session
+	// silent says that the last stream ended by silence, not by its end.
+	silent bool
 }
 
 // NewPool returns a pool without runners.
 func NewPool(zone instancelist.AvailabilityZone) *Pool {
 	return &Pool{
+		status:   NewStatusClient(),
 		fleet:    NewFleet(zone),
+		suspects: NewSuspects(),
+		notify:   func(Fingerprint, string) {},
 		streams:  map[runner.ID]*runner.Stream{},
 		sessions: map[runner.SessionID]*running{},
 	}
@@ -80,6 +99,22 @@
 	f(p.fleet)
 }
 
+// OnCrash sets what is called when a request was running on a runner that
+// crashed, before the request runs again.
+func (p *Pool) OnCrash(notify func(request Fingerprint, incarnation string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notify = notify
+}
+
+// Crashed takes another instance's notice that a request was running on a
+// runner that crashed.
+func (p *Pool) Crashed(now time.Time, request Fingerprint, incarnation string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspects.Crashed(now, request, incarnation, true)
+}
+
 // Counts returns what the pool has seen so far.
 func (p *Pool) Counts() Counts {
 	p.mu.Lock()
@@ -100,7 +135,7 @@
 }
 
 // Lost implements runner.Receiver.
-func (p *Pool) Lost(from runner.ID, stream *runner.Stream, _ error) {
+func (p *Pool) Lost(from runner.ID, stream *runner.Stream, cause error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.StreamsLost++
@@ -110,6 +145,7 @@
 	for _, r := range p.sessions {
 		if r.stream == stream {
 			r.stream = nil
+			r.silent = errors.As(cause, new(*runner.SilentError))
 			p.push(r, StreamLost{Runner: from})
 		}
 	}
@@ -140,10 +176,14 @@
 	defer func() {
 		p.mu.Lock()
 		p.settle(r)
+		p.suspects.Vacate(request.Fingerprint)
 		delete(p.sessions, id)
 		p.mu.Unlock()
 	}()
-	d := driver{pool: p, running: r, request: request, emit: emit}
+	d := driver{
+		pool: p, running: r, request: request, emit: emit,
+		prefixes: prefixHashes(request.Model, request.Version, request.Prompt),
+	}
 	return d.run(ctx)
 }
 
@@ -185,9 +225,11 @@
 	running *running
 	request Request
 	emit    func(hashmodel.Token) error
-	emitted int
-	result  error
-	done    bool
+	// prefixes holds the hashes of the prompt's blocks.
+	prefixes []uint64
+	emitted  int
+	result   error
+	done     bool
 }
 
 func (d *driver) run(ctx context.Context) error {
@@ -206,6 +248,9 @@
 			d.result = ctx.Err()
 			event = Cancelled{}
 		}
+		if lost, ok := event.(StreamLost); ok {
+			d.checkCrash(ctx, lost.Runner)
+		}
 		d.execute(ctx, session.Step(time.Now(), event))
 		d.done = d.done || session.Ended()
 	}
@@ -236,7 +281,7 @@
 func (d *driver) do(ctx context.Context, action Action) Event {
 	switch a := action.(type) {
 	case ChoosePath:
-		return d.choose(a)
+		return d.choose(ctx, a)
 	case SendStep:
 		return d.send(ctx, a)
 	case CloseStage:
@@ -253,7 +298,12 @@
 		d.pool.mu.Lock()
 		d.pool.counts.Dropped++
 		d.pool.mu.Unlock()
+	case ObserveStep:
+		d.pool.Update(func(f *Fleet) { f.Observed(time.Now(), a.Runner, a.Took) })
 	case Finish:
+		d.pool.mu.Lock()
+		d.pool.suspects.Cleared(d.request.Fingerprint)
+		d.pool.mu.Unlock()
 		d.done = true
 	case Fail:
 		d.result = &FailedError{Reason: a.Reason, Emitted: d.emitted}
@@ -262,19 +312,83 @@
 	return nil
 }
 
-func (d *driver) choose(a ChoosePath) Event {
-	d.pool.mu.Lock()
-	defer d.pool.mu.Unlock()
-	d.pool.settle(d.running)
-	d.pool.counts.Paths++
-	path, err := d.pool.fleet.Choose(time.Now(), Query{
+func (d *driver) choose(ctx context.Context, a ChoosePath) Event {
+	patience := time.Now().Add(isolationPatience)
+	for {
+		now := time.Now()
+		event, retry := d.tryChoose(now, a, now.Before(patience))
+		if !retry || ctx.Err() != nil {
+			return event
+		}
+		time.Sleep(isolationRetry)
+	}
+}
+
+// tryChoose chooses a path. With isolate set, a suspect gets one without other
+// suspects; retry says that there is none now.
+func (d *driver) tryChoose(now time.Time, a ChoosePath, isolate bool) (event Event, retry bool) {
+	p := d.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(d.running)
+	request := d.request.Fingerprint
+	if p.suspects.Quarantined(now, request) {
+		return Quarantined{}, false
+	}
+	query := Query{
 		Model: d.request.Model, Version: d.request.Version, Layers: d.request.Layers,
-		Positions: a.Positions, Avoid: a.Avoid,
-	})
+		Positions: a.Positions, Avoid: a.Avoid, Prefixes: d.prefixes,
+	}
+	suspect := p.suspects.Suspect(request)
+	if suspect && isolate {
+		query.Avoid = maps.Clone(a.Avoid)
+		for _, r := range p.fleet.Runners() {
+			query.Avoid[r.ID] = query.Avoid[r.ID] || !p.suspects.Alone(request, r.ID)
+		}
+	}
+	path, err := p.fleet.Choose(now, query)
 	if err != nil {
-		return NoPath{}
+		return NoPath{}, suspect && isolate
+	}
+	p.counts.Paths++
+	if suspect {
+		p.suspects.Occupy(request, path)
+	}
+	for _, hop := range path {
+		p.fleet.Prefilled(now, hop.Runner, d.prefixes)
+	}
+	return PathChosen{Path: path}, false
+}
+
+// checkCrash asks a runner whose stream ended whether it still is the process
+// that it was. If not, this request was running when it crashed.
+func (d *driver) checkCrash(ctx context.Context, id runner.ID) {
+	p := d.pool
+	p.mu.Lock()
+	r, ok := p.fleet.Runner(id)
+	if !ok || d.running.silent || d.running.at != id {
+		p.mu.Unlock()
+		return
+	}
+	address, before := r.Address, r.Report.Incarnation
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	report, err := p.status.Fetch(ctx, id, address)
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+		return
+	}
+	if err == nil && report.Incarnation == before {
+		return
+	}
+	p.mu.Lock()
+	request := d.request.Fingerprint
+	news := p.suspects.Crashed(time.Now(), request, before, p.suspects.Alone(request, id))
+	notify := p.notify
+	p.mu.Unlock()
+	if news {
+		notify(request, before)
 	}
-	return PathChosen{Path: path}
 }
 
 func (d *driver) send(ctx context.Context, a SendStep) Event {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -17,6 +17,13 @@
 	stallFactor  = 3
 	// maxPaths bounds how often one answer changes its path.
 	maxPaths = 8
+	// A step is slow when it takes longer than slowStep and slowFactor times
+	// what was predicted. After slowSteps of them in a row the answer moves,
+	// if the tokens left would lose more time than moveCost by staying.
+	slowStep   = 50 * time.Millisecond
+	slowFactor = 4
+	slowSteps  = 2
+	moveCost   = 300 * time.Millisecond
 )
 
 // Event is something that happened to a session.
@@ -43,6 +50,9 @@
 	Runner runner.ID
 }
 
+// Quarantined says that the request must not run again.
+type Quarantined struct{}
+
 // RunnerUnreachable says that no new stream to a runner could be opened.
 type RunnerUnreachable struct {
 	Runner runner.ID
@@ -61,6 +71,7 @@
 func (RunnerUnreachable) isEvent() {}
 func (Tick) isEvent()              {}
 func (Cancelled) isEvent()         {}
+func (Quarantined) isEvent()       {}
 
 // Action is something to do for a session.
 type Action interface {
@@ -96,6 +107,12 @@
 	Runner runner.ID
 }
 
+// ObserveStep tells how long a runner took for one position.
+type ObserveStep struct {
+	Runner runner.ID
+	Took   time.Duration
+}
+
 // DropReply counts a reply that belongs to no step under way.
 type DropReply struct {
 	From runner.ID
@@ -112,6 +129,7 @@
 	FailNoPath       FailReason = "no-path"
 	FailTooManyPaths FailReason = "too-many-failures"
 	FailInvariant    FailReason = "internal"
+	FailQuarantined  FailReason = "quarantined"
 )
 
 // Fail ends the answer; it is not whole.
@@ -125,6 +143,7 @@
 func (Emit) isAction()        {}
 func (BlameRunner) isAction() {}
 func (DropReply) isAction()   {}
+func (ObserveStep) isAction() {}
 func (Finish) isAction()      {}
 func (Fail) isAction()        {}
 
@@ -152,10 +171,13 @@
 	step    runner.Step
 	// due is when the outstanding step counts as stalled; zero if none is.
 	due    time.Time
+	sent   time.Time
 	resent bool
-	avoid  map[runner.ID]bool
-	paths  int
-	ended  bool
+	// slow counts the slow steps in a row at each runner of the path.
+	slow  map[runner.ID]int
+	avoid map[runner.ID]bool
+	paths int
+	ended bool
 }
 
 // NewSession returns the decider of an answer.
@@ -205,6 +227,8 @@
 		return s.tick(now)
 	case Cancelled:
 		return s.end()
+	case Quarantined:
+		return append([]Action{Fail{Reason: FailQuarantined}}, s.end()...)
 	}
 	return nil
 }
@@ -221,6 +245,7 @@
 	s.paths++
 	s.epoch++
 	s.hop = 0
+	s.slow = map[runner.ID]int{}
 	step := s.newStep(0)
 	step.Tokens = append([]hashmodel.Token(nil), s.tokens...)
 	return []Action{s.send(now, step, false)}
@@ -236,6 +261,7 @@
 func (s *Session) send(now time.Time, step runner.Step, again bool) Action {
 	hop := s.path[s.hop]
 	s.step = step
+	s.sent = now
 	s.resent = again
 	s.due = now.Add(stallTimeout + stallFactor*hop.Expected)
 	return SendStep{Hop: hop, Step: step}
@@ -248,14 +274,39 @@
 	if e.Reply.Status != runner.StepRan {
 		return s.repath(e.From)
 	}
-	last := s.hop == len(s.path)-1
-	if !last {
+	actions := s.observe(now, e.From)
+	if s.hop < len(s.path)-1 {
 		if len(e.Reply.Hidden) != s.step.Count() {
 			return append([]Action{BlameRunner{Runner: e.From}}, s.repath(e.From)...)
 		}
-		return s.forward(now, e.Reply.Hidden)
+		return append(actions, s.forward(now, e.Reply.Hidden)...)
+	}
+	return append(actions, s.token(now, e.Reply.Token)...)
+}
+
+// observe notes how long a step of one position took.
+func (s *Session) observe(now time.Time, from runner.ID) []Action {
+	if s.step.Count() != 1 {
+		return nil
+	}
+	took := now.Sub(s.sent)
+	if took > slowStep && took > slowFactor*s.path[s.hop].Expected {
+		s.slow[from]++
+	} else {
+		s.slow[from] = 0
+	}
+	return []Action{ObserveStep{Runner: from, Took: took}}
+}
+
+// tooSlow returns a runner that the answer had better leave, at a token.
+func (s *Session) tooSlow() (runner.ID, bool) {
+	left := time.Duration(s.config.MaxTokens - s.emitted)
+	for _, hop := range s.path {
+		if s.slow[hop.Runner] >= slowSteps && left*slowStep > moveCost && s.paths < maxPaths/2 {
+			return hop.Runner, true
+		}
 	}
-	return s.token(now, e.Reply.Token)
+	return "", false
 }
 
 // expects reports whether a reply answers the outstanding step.
@@ -299,6 +350,9 @@
 	if s.emitted >= s.config.MaxTokens {
 		return append(append(actions, Finish{}), s.end()...)
 	}
+	if slow, ok := s.tooSlow(); ok {
+		return append(actions, s.repath(slow)...)
+	}
 	s.hop = 0
 	step := s.newStep(runner.Position(ran))
 	step.Tokens = []hashmodel.Token{token}
--- a/internal/engine/suspects.go
+++ b/internal/engine/suspects.go
@@ -1,8 +1,9 @@
 package engine
 
 import (
-	"slices"
 	"time"
+
+	"mulberryhead.org/mulberryhead/internal/runner"
 )
 
 // Fingerprint identifies requests that are alike: same tenant, model and
@@ -14,47 +15,74 @@
 	suspectMemory = 10 * time.Minute
 	// quarantineCrashes is the number of crashed runners that convicts.
 	quarantineCrashes = 2
-	maxSuspects       = 4096
+	// A crash among massCrashes others within massWindow has another cause,
+	// such as a rack without power.
+	massCrashes = 4
+	massWindow  = 3 * time.Second
+	maxSuspects = 4096
 )
 
 type suspect struct {
-	// runners lists the incarnations of the runners that crashed.
-	runners []string
+	// runners holds the incarnations of the runners that crashed.
+	runners map[string]bool
 	last    time.Time
 }
 
 // Suspects remembers which requests were running on runners that crashed. A
-// request that was running at two crashes is quarantined. Notices of several
-// instances merge in any order to the same state.
+// request that was running at two crashes is quarantined. A suspect runs on a
+// runner without other suspects where it can, so that the second crash names
+// the right one; a second crash that several suspects shared convicts none.
+// It is not safe for concurrent use.
 type Suspects struct {
 	requests map[Fingerprint]*suspect
+	crashes  map[string]time.Time
+	// busy names the suspects that run on a runner.
+	busy map[runner.ID]map[Fingerprint]bool
 }
 
 // NewSuspects returns an empty memory.
 func NewSuspects() *Suspects {
-	return &Suspects{requests: map[Fingerprint]*suspect{}}
+	return &Suspects{
+		requests: map[Fingerprint]*suspect{}, crashes: map[string]time.Time{}, busy: map[runner.ID]map[Fingerprint]bool{},
+	}
 }
 
 // Crashed notes that a request was running on a runner's incarnation when it
-// crashed, and reports whether that was news.
-func (s *Suspects) Crashed(now time.Time, request Fingerprint, incarnation string) bool {
+// crashed, and reports whether that was news. alone is false when other
+// suspects ran there too.
+func (s *Suspects) Crashed(now time.Time, request Fingerprint, incarnation string, alone bool) bool {
 	s.expire(now)
+	if _, ok := s.crashes[incarnation]; !ok {
+		s.crashes[incarnation] = now
+	}
 	known, ok := s.requests[request]
+	if ok && (known.runners[incarnation] || !alone || s.massCrash(now, known)) {
+		return false
+	}
 	if !ok {
 		if len(s.requests) >= maxSuspects {
 			return false
 		}
-		known = &suspect{}
+		known = &suspect{runners: map[string]bool{}}
 		s.requests[request] = known
 	}
 	known.last = now
-	if slices.Contains(known.runners, incarnation) {
-		return false
-	}
-	known.runners = append(known.runners, incarnation)
+	known.runners[incarnation] = true
 	return true
 }
 
+// massCrash reports whether many runners crashed just now that the request
+// was not running on.
+func (s *Suspects) massCrash(now time.Time, known *suspect) bool {
+	others := 0
+	for incarnation, at := range s.crashes {
+		if now.Sub(at) < massWindow && !known.runners[incarnation] {
+			others++
+		}
+	}
+	return others > massCrashes
+}
+
 // Cleared forgets a request that ran to its end without a crash.
 func (s *Suspects) Cleared(request Fingerprint) {
 	if known, ok := s.requests[request]; ok && len(known.runners) < quarantineCrashes {
@@ -74,10 +102,46 @@
 	return ok && len(known.runners) >= quarantineCrashes && now.Sub(known.last) < suspectMemory
 }
 
+// Alone reports whether no other suspect runs on a runner.
+func (s *Suspects) Alone(request Fingerprint, id runner.ID) bool {
+	for other := range s.busy[id] {
+		if other != request {
+			return false
+		}
+	}
+	return true
+}
+
+// Occupy notes that a suspect runs on the runners of a path.
+func (s *Suspects) Occupy(request Fingerprint, path Path) {
+	s.Vacate(request)
+	for _, hop := range path {
+		if s.busy[hop.Runner] == nil {
+			s.busy[hop.Runner] = map[Fingerprint]bool{}
+		}
+		s.busy[hop.Runner][request] = true
+	}
+}
+
+// Vacate notes that a suspect no longer runs.
+func (s *Suspects) Vacate(request Fingerprint) {
+	for id, suspects := range s.busy {
+		delete(suspects, request)
+		if len(suspects) == 0 {
+			delete(s.busy, id)
+		}
+	}
+}
+
 func (s *Suspects) expire(now time.Time) {
 	for request, known := range s.requests {
 		if now.Sub(known.last) >= suspectMemory {
 			delete(s.requests, request)
 		}
 	}
+	for incarnation, at := range s.crashes {
+		if now.Sub(at) >= suspectMemory {
+			delete(s.crashes, incarnation)
+		}
+	}
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -202,3 +202,17 @@
 		}
 	}
 }
+
+// Refusal asks one question and returns the code of the problem that it ends
+// with, empty for an answer.
+func Refusal(ctx context.Context, o Options, prompt string) string {
+	err := newHTTPClient().stream(ctx, o.Callers[0], o, prompt, func(string) {})
+	var refused *ProblemError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &refused):
+		return refused.Code
+	}
+	return "cut"
+}
--- a/internal/localcluster/script_test.go
+++ b/internal/localcluster/script_test.go
@@ -138,6 +138,14 @@
 		assert.NilError(s.t, s.cluster.Unlist(s.ctx, arguments[0]))
 	case "replace":
 		s.replace(arguments[0])
+	case "engines":
+		for _, id := range arguments {
+			assert.NilError(s.t, s.cluster.StartEngine(s.ctx, Engine{ID: id, Zone: "zone-a", First: 0, End: 6, BatchCost: time.Millisecond}))
+		}
+	case "poison":
+		s.poison(arguments[0], arguments[1])
+	case "standing":
+		s.standing(arguments[0], arguments[1:])
 	case "ready":
 		s.ready(arguments[0], arguments[1])
 	case "sleep":
@@ -394,6 +402,23 @@
 	_ = e
 }
 
+// poison sends the request that crashes engines and checks its final answer.
+func (s *script) poison(id, want string) {
+	code := load.Refusal(s.ctx, s.options(s.entry(id).Callers), "this is poison indeed")
+	assert.Assert(s.t, slices.Contains(strings.Split(want, "|"), code), "got %q, want %s", code, want)
+}
+
+// standing checks how many of some engines still run.
+func (s *script) standing(want string, ids []string) {
+	running := 0
+	for _, id := range ids {
+		if s.process(id).Running() {
+			running++
+		}
+	}
+	assert.Equal(s.t, strconv.Itoa(running), want)
+}
+
 // ready checks that an instance becomes ready, or that it does not.
 func (s *script) ready(id, want string) {
 	e := s.entry(id)
