--- a/internal/logservice/lease/keeper.go
+++ b/internal/logservice/lease/keeper.go
@@ -96,7 +96,7 @@
 		k.mu.Unlock()
 		return
 	}
-	request, ok := k.holder.Step(now, k.fold.Grant(k.duty))
+	request, ok := k.holder.Step(now, k.fold)
 	k.mu.Unlock()
 	if !ok {
 		return
--- a/internal/logservice/lease/lease.go
+++ b/internal/logservice/lease/lease.go
@@ -24,8 +24,13 @@
 // Fence is the log offset of the record that granted a lease.
 type Fence int64
 
-// NoFence stands for a duty that nobody holds.
-const NoFence Fence = -1
+const (
+	// NoFence stands for a duty that nobody holds.
+	NoFence Fence = -1
+	// AnyFence stands for whatever is in force, named by an instance that has
+	// missed it.
+	AnyFence Fence = -2
+)
 
 // Duty names what a lease is about.
 type Duty string
@@ -72,24 +77,39 @@
 	Holder Incarnation
 	Fence  Fence
 	// Seen is when this reader last saw the grant made or renewed, by its own
-	// clock.
-	Seen time.Time
-	// tentative marks a grant that a reader took on trust because the records
-	// before it were trimmed. A renewal of another grant corrects it.
-	tentative bool
+	// clock; logged is the same by the log's.
+	Seen   time.Time
+	logged time.Time
+	// rival is when this reader, having missed records, last saw another
+	// instance renew another fence. One of the two is wrong.
+	rival time.Time
 }
 
 // Fold is the state of the stream up to an offset.
 type Fold struct {
 	next   logservice.Offset
 	grants map[Duty]Grant
-	// missed is set once records were trimmed unread.
+	// missed is set once records were trimmed unread. Such a reader learns who
+	// holds a duty from renewals, which name the fence.
 	missed bool
+	// since is the log's time of the first record after the gap, zero before
+	// it is read.
+	since time.Time
+	// claims holds the last claim of each duty, whether or not this reader can
+	// tell that it was granted.
+	claims map[Duty]claimTime
+}
+
+// claimTime is when a claim was made, by the log's clock, and read, by this
+// reader's.
+type claimTime struct {
+	logged time.Time
+	seen   time.Time
 }
 
 // NewFold returns the state before the first record.
 func NewFold() *Fold {
-	return &Fold{grants: map[Duty]Grant{}}
+	return &Fold{grants: map[Duty]Grant{}, claims: map[Duty]claimTime{}}
 }
 
 // Next returns the offset of the record to apply next.
@@ -97,7 +117,18 @@
 	return f.next
 }
 
-// Grant returns who holds a duty; its Fence is NoFence if nobody does.
+// Missed reports whether records were trimmed unread.
+func (f *Fold) Missed() bool {
+	return f.missed
+}
+
+// LastClaim returns when this reader last saw a claim of a duty, zero if never.
+func (f *Fold) LastClaim(duty Duty) time.Time {
+	return f.claims[duty].seen
+}
+
+// Grant returns who holds a duty; its Fence is NoFence if nobody does, or if
+// this reader has missed who does.
 func (f *Fold) Grant(duty Duty) Grant {
 	if g, ok := f.grants[duty]; ok {
 		return g
@@ -106,17 +137,15 @@
 }
 
 // Trimmed says that the stream now starts at first, beyond Next. What was
-// granted before stays known, but may have been replaced unseen.
+// granted before may have been replaced unseen, so it is forgotten.
 func (f *Fold) Trimmed(first logservice.Offset) {
 	if first <= f.next {
 		return
 	}
 	f.next = first
 	f.missed = true
-	for duty, g := range f.grants {
-		g.tentative = true
-		f.grants[duty] = g
-	}
+	f.since = time.Time{}
+	f.grants = map[Duty]Grant{}
 }
 
 // Apply takes the next record. A request that replaces another fence than the
@@ -130,27 +159,66 @@
 		return err
 	}
 	f.next++
+	if f.missed && f.since.IsZero() {
+		f.since = record.Time
+	}
 	r, err := DecodeRequest(record.Body)
 	if err != nil {
 		// A broken record takes effect nowhere; every reader skips it alike.
 		return nil
 	}
+	if r.Renew {
+		f.renew(now, record.Time, r)
+		return nil
+	}
+	return f.claim(now, record, r)
+}
+
+func (f *Fold) renew(now, logged time.Time, r Request) {
 	held := f.Grant(r.Duty)
-	trusting := held.tentative || (f.missed && held.Fence == NoFence)
 	switch {
-	case r.Renew && r.Replaces == held.Fence && r.Holder == held.Holder:
-		held.Seen, held.tentative = now, false
-		f.grants[r.Duty] = held
-	case r.Renew && trusting:
-		f.grants[r.Duty] = Grant{Holder: r.Holder, Fence: r.Replaces, Seen: now, tentative: true}
-	case !r.Renew && (r.Replaces == held.Fence || trusting):
-		granted := Grant{Holder: r.Holder, Fence: Fence(record.Offset), Seen: now}
-		granted.tentative = r.Replaces != held.Fence || held.tentative
-		if err := invariant.Check(granted.Fence > held.Fence, invariant.FencingMonotone,
-			"duty %s would go from fence %d to %d", r.Duty, held.Fence, granted.Fence); err != nil {
-			return err
-		}
-		f.grants[r.Duty] = granted
+	case r.Replaces == held.Fence && r.Holder == held.Holder:
+		held.Seen, held.logged = now, logged
+	case f.missed && r.Replaces > held.Fence:
+		held = Grant{Holder: r.Holder, Fence: r.Replaces, Seen: now, logged: logged}
+	case f.missed:
+		held.rival = now
+	default:
+		return
 	}
+	f.grants[r.Duty] = held
+}
+
+func (f *Fold) claim(now time.Time, record logservice.Record, r Request) error {
+	held := f.Grant(r.Duty)
+	takesEffect := f.replaces(record.Time, r, held)
+	f.claims[r.Duty] = claimTime{logged: record.Time, seen: now}
+	if !takesEffect {
+		return nil
+	}
+	granted := Grant{Holder: r.Holder, Fence: Fence(record.Offset), Seen: now, logged: record.Time}
+	if err := invariant.Check(granted.Fence > held.Fence, invariant.FencingMonotone,
+		"duty %s would go from fence %d to %d", r.Duty, held.Fence, granted.Fence); err != nil {
+		return err
+	}
+	f.grants[r.Duty] = granted
 	return nil
 }
+
+// replaces reports whether a claim takes effect. One that names no fence, by
+// an instance that has missed which is in force, does so only where the log's
+// own times show that nobody has renewed for TTL.
+func (f *Fold) replaces(logged time.Time, r Request, held Grant) bool {
+	switch {
+	case r.Replaces == AnyFence:
+	case f.missed:
+		// The claimant may know a grant that this reader has missed.
+		return held.Fence != NoFence && r.Replaces >= held.Fence
+	default:
+		return r.Replaces == held.Fence
+	}
+	if held.Fence != NoFence {
+		return logged.Sub(held.logged) > TTL
+	}
+	return !f.missed || (logged.Sub(f.since) > TTL && logged.Sub(f.claims[r.Duty].logged) > TTL)
+}
