--- a/cmd/mulberryhead/main.go
+++ b/cmd/mulberryhead/main.go
@@ -30,14 +30,15 @@
 )
 
 type commands struct {
-	Run     runCommand     `command:"run" description:"run an entry instance until SIGTERM"`
-	Check   checkCommand   `command:"check" description:"check settings and documents without publishing"`
-	Publish publishCommand `command:"publish" description:"put a document into trial"`
-	Promote promoteCommand `command:"promote" description:"put the document in trial into production"`
-	Status  statusCommand  `command:"status" description:"show what is in force on one or more instances"`
-	Key     keyCommand     `command:"key" description:"make a random key and the hash that a document lists"`
-	Load    loadCommand    `command:"load" description:"load entry instances and verify every answer"`
-	Version versionCommand `command:"version" description:"print the version"`
+	Run        runCommand        `command:"run" description:"run an entry instance until SIGTERM"`
+	Check      checkCommand      `command:"check" description:"check settings and documents without publishing"`
+	Publish    publishCommand    `command:"publish" description:"put a document into trial"`
+	Promote    promoteCommand    `command:"promote" description:"put the document in trial into production"`
+	Status     statusCommand     `command:"status" description:"show what is in force on one or more instances"`
+	Key        keyCommand        `command:"key" description:"make a random key and the hash that a document lists"`
+	Load       loadCommand       `command:"load" description:"load entry instances and verify every answer"`
+	Experiment experimentCommand `command:"experiment" description:"measure decisions against bounds and baselines, in this process"`
+	Version    versionCommand    `command:"version" description:"print the version"`
 }
 
 func main() {
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -28,7 +28,7 @@
 
 // benchFleet starts engines in this process that cost nothing, and a pool that
 // knows them.
-func benchFleet(b *testing.B) (*Pool, Path) {
+func benchFleet() (*Pool, Path) {
 	pool := NewPool("zone-a")
 	var path Path
 	var list []instancelist.Instance
@@ -65,12 +65,12 @@
 func BenchmarkHop(b *testing.B) {
 	for _, sessions := range []int{1, 64} {
 		b.Run(fmt.Sprintf("one-request-per-hop/sessions-%d", sessions), func(b *testing.B) {
-			_, path := benchFleet(b)
+			_, path := benchFleet()
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 			measureHops(b, sessions, func() error { return answerByRequests(client, path) })
 		})
 		b.Run(fmt.Sprintf("one-stream-per-runner/sessions-%d", sessions), func(b *testing.B) {
-			pool, _ := benchFleet(b)
+			pool, _ := benchFleet()
 			measureHops(b, sessions, func() error { return answerByPool(pool) })
 		})
 	}
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -34,6 +34,7 @@
 	// observedWeight is the weight of the newest observation, observedMemory
 	// how long observations count once none is made any more.
 	observedWeight = 0.3
+	observedFactor = 4
 	observedMemory = 2 * time.Second
 	// prefixBlock is the number of positions that a prefix cache keeps
 	// together, prefixMemory how long a block is believed to stay cached.
@@ -44,14 +45,16 @@
 
 // Report is what a runner says about itself.
 type Report struct {
-	Incarnation  string
-	Model        environment.ModelName
-	Version      environment.ModelVersion
-	Layers       int
-	Range        runner.LayerRange
-	Leaving      bool
-	Loading      bool
-	Queued       int
+	Incarnation string
+	Model       environment.ModelName
+	Version     environment.ModelVersion
+	Layers      int
+	Range       runner.LayerRange
+	Leaving     bool
+	Loading     bool
+	Queued      int
+	// Sessions is the number of answers that the runner keeps state for.
+	Sessions     int
 	BatchCost    time.Duration
 	PositionCost time.Duration
 	// RoundTrip is how long the report took to fetch.
@@ -68,9 +71,12 @@
 	Report  Report
 	// reported is when the report was made; zero before the first.
 	reported time.Time
-	inFlight int
-	failures int
-	ejected  time.Time
+	// assigned counts this instance's answers whose path has the runner, and
+	// assignedThen how many there were when the report was made.
+	assigned     int
+	assignedThen int
+	failures     int
+	ejected      time.Time
 	// observed is how long a step of one position has taken lately.
 	observed   time.Duration
 	observedAt time.Time
@@ -105,11 +111,12 @@
 type Fleet struct {
 	zone    instancelist.AvailabilityZone
 	runners map[runner.ID]*Runner
+	policy  Policy
 }
 
 // NewFleet returns an empty fleet seen from an availability zone.
 func NewFleet(zone instancelist.AvailabilityZone) *Fleet {
-	return &Fleet{zone: zone, runners: map[runner.ID]*Runner{}}
+	return &Fleet{zone: zone, runners: map[runner.ID]*Runner{}, policy: Cheapest{}}
 }
 
 // SetInstances takes the engines of the instance list. What is known of those
@@ -163,20 +170,25 @@
 		r.prefixes = nil
 	}
 	r.Report, r.reported = report, at
+	r.assignedThen = r.assigned
 	return restarted
 }
 
-// Started counts a step that was sent to a runner.
-func (f *Fleet) Started(id runner.ID) {
-	if r, ok := f.runners[id]; ok {
-		r.inFlight++
+// Assign counts an answer that takes a path.
+func (f *Fleet) Assign(path Path) {
+	for _, hop := range path {
+		if r, ok := f.runners[hop.Runner]; ok {
+			r.assigned++
+		}
 	}
 }
 
-// Finished counts a step that a runner answered or will never answer.
-func (f *Fleet) Finished(id runner.ID) {
-	if r, ok := f.runners[id]; ok && r.inFlight > 0 {
-		r.inFlight--
+// Unassign counts an answer that leaves its path.
+func (f *Fleet) Unassign(path Path) {
+	for _, hop := range path {
+		if r, ok := f.runners[hop.Runner]; ok && r.assigned > 0 {
+			r.assigned--
+		}
 	}
 }
 
@@ -212,15 +224,14 @@
 	Prefixes []uint64
 }
 
-// Choose returns the cheapest path for a query: in the own availability zone
-// where that covers the layers, and through as few other runners as possible
-// where it doesn't.
-func (f *Fleet) Choose(now time.Time, q Query) (Path, error) {
+// cheapest returns the cheapest path: in the own availability zone where that
+// covers the layers, and through as few other runners as possible where it
+// doesn't.
+func (f *Fleet) cheapest(now time.Time, q Query, candidates []*Runner) (Path, error) {
 	best := make([]time.Duration, q.Layers+1)
 	via := make([]*Runner, q.Layers+1)
 	reached := make([]bool, q.Layers+1)
 	reached[0] = true
-	candidates := f.candidates(q)
 	for _, r := range candidates {
 		from, to := r.Report.Range.First, r.Report.Range.End
 		if !reached[from] {
@@ -237,12 +248,15 @@
 	var path Path
 	for at := q.Layers; at > 0; at = via[at].Report.Range.First {
 		r := via[at]
-		hop := Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, &q)}
-		path = append(Path{hop}, path...)
+		path = append(Path{f.hop(now, r, &q)}, path...)
 	}
 	return path, nil
 }
 
+func (f *Fleet) hop(now time.Time, r *Runner, q *Query) Hop {
+	return Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, q)}
+}
+
 // candidates returns the runners that may take new work for the query, by
 // rising first layer, so that one pass of Choose settles every layer.
 func (f *Fleet) candidates(q Query) []*Runner {
@@ -290,8 +304,9 @@
 	busy := perStep + time.Duration(positions-1)*r.Report.PositionCost
 	busy += time.Duration(f.backlog(now, r) * float64(r.perQueued(perStep)))
 	busy += r.Report.RoundTrip
-	if now.Sub(r.observedAt) < observedMemory {
-		busy = max(busy, r.observed)
+	if now.Sub(r.observedAt) < observedMemory && r.observed > observedFactor*busy {
+		// The runner takes far longer than it reports: it is slow or far.
+		busy = r.observed
 	}
 	return busy
 }
@@ -345,12 +360,15 @@
 	r.observedAt = now
 }
 
-// backlog is the work before a new step: the runner's own report, which counts
-// less the older it is, and what this instance has sent since.
+// backlog is the answers that share a runner: this instance's own, and those
+// of others by the runner's report, which counts less the older it is. Every
+// answer of a full fleet may have a step waiting, so answers are counted and
+// not the steps that happen to wait when a report is made.
 func (f *Fleet) backlog(now time.Time, r *Runner) float64 {
 	age := now.Sub(r.reported)
 	weight := float64(loadHalfLife) / float64(loadHalfLife+max(age, 0))
-	return float64(r.Report.Queued)*weight + float64(r.inFlight)
+	others := max(r.Report.Sessions-r.assignedThen, 0)
+	return float64(others)*weight + float64(r.assigned)
 }
 
 // ReportedAt returns when the newest report was made, zero before the first.
--- /dev/null
+++ b/internal/engine/policy.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy says how a fleet chooses among the paths for an answer: Cheapest,
+// AnyPath or NextPath.
+type Policy interface {
+	isPolicy()
+}
+
+// Cheapest takes the path that is predicted to end first.
+type Cheapest struct{}
+
+// AnyPath takes a random path. It is a baseline for measurements.
+type AnyPath struct {
+	Random *rand.Rand
+}
+
+// NextPath takes the runners of each range in turn. It is a baseline for
+// measurements.
+type NextPath struct {
+	turns map[int]int
+}
+
+// NewNextPath returns the policy at its first turn.
+func NewNextPath() NextPath {
+	return NextPath{turns: map[int]int{}}
+}
+
+func (Cheapest) isPolicy() {}
+func (AnyPath) isPolicy()  {}
+func (NextPath) isPolicy() {}
+
+// SetPolicy changes how paths are chosen. A new fleet chooses the cheapest.
+func (f *Fleet) SetPolicy(p Policy) {
+	f.policy = p
+}
+
+// Choose returns a path for a query by the fleet's policy.
+func (f *Fleet) Choose(now time.Time, q Query) (Path, error) {
+	candidates := f.candidates(q)
+	switch p := f.policy.(type) {
+	case AnyPath:
+		return f.walk(now, q, candidates, p.Random.IntN)
+	case NextPath:
+		return f.walk(now, q, candidates, func(n int) int {
+			p.turns[n]++
+			return p.turns[n] % n
+		})
+	}
+	return f.cheapest(now, q, candidates)
+}
+
+// walk goes from range to range and lets pick say which of n runners to take.
+func (f *Fleet) walk(now time.Time, q Query, candidates []*Runner, pick func(n int) int) (Path, error) {
+	var path Path
+	for at := 0; at < q.Layers; at = path[len(path)-1].Range.End {
+		var open []*Runner
+		for _, r := range candidates {
+			if r.Report.Range.First == at && r.Zone == f.zone {
+				open = append(open, r)
+			}
+		}
+		if len(open) == 0 {
+			return nil, &NoPathError{Model: q.Model, Version: q.Version}
+		}
+		r := open[pick(len(open))]
+		path = append(path, f.hop(now, r, &q))
+	}
+	return path, nil
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -74,6 +74,7 @@
 type running struct {
 	events  chan Event
 	at      runner.ID
+	path    Path
 	stream  *runner.Stream
 	session *Session
 	// silent says that the last stream ended by silence, not by its end.
@@ -187,12 +188,10 @@
 	return d.run(ctx)
 }
 
-// settle ends the accounting of a session's outstanding step.
+// settle ends the accounting of a session's path.
 func (p *Pool) settle(r *running) {
-	if r.at != "" {
-		p.fleet.Finished(r.at)
-		r.at = ""
-	}
+	p.fleet.Unassign(r.path)
+	r.at, r.path = "", nil
 }
 
 // stream returns the open stream to a runner, opening one if there is none.
@@ -300,6 +299,8 @@
 		d.pool.mu.Unlock()
 	case ObserveStep:
 		d.pool.Update(func(f *Fleet) { f.Observed(time.Now(), a.Runner, a.Took) })
+	case ProposeMove:
+		return MoveAnswered{Better: d.betterWithout(a)}
 	case Finish:
 		d.pool.mu.Lock()
 		d.pool.suspects.Cleared(d.request.Fingerprint)
@@ -351,6 +352,8 @@
 		return NoPath{}, suspect && isolate
 	}
 	p.counts.Paths++
+	d.running.path = path
+	p.fleet.Assign(path)
 	if suspect {
 		p.suspects.Occupy(request, path)
 	}
@@ -360,6 +363,26 @@
 	return PathChosen{Path: path}, false
 }
 
+// betterWithout reports whether a path without a runner is predicted to take
+// less than half of what the slow runner alone takes.
+func (d *driver) betterWithout(a ProposeMove) bool {
+	p := d.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path, err := p.fleet.Choose(time.Now(), Query{
+		Model: d.request.Model, Version: d.request.Version, Layers: d.request.Layers,
+		Positions: 1, Avoid: a.Avoid,
+	})
+	if err != nil {
+		return false
+	}
+	total := time.Duration(0)
+	for _, hop := range path {
+		total += hop.Expected
+	}
+	return total < a.Took/2
+}
+
 // checkCrash asks a runner whose stream ended whether it still is the process
 // that it was. If not, this request was running when it crashed.
 func (d *driver) checkCrash(ctx context.Context, id runner.ID) {
@@ -421,9 +444,7 @@
 func (d *driver) account(id runner.ID) {
 	d.pool.mu.Lock()
 	defer d.pool.mu.Unlock()
-	d.pool.settle(d.running)
 	d.running.at = id
-	d.pool.fleet.Started(id)
 	d.pool.counts.Steps++
 }
 
--- a/internal/engine/prove_test.go
+++ b/internal/engine/prove_test.go
@@ -136,6 +136,8 @@
 			s.choosePath(c, a)
 		case SendStep:
 			s.world.steps = append(s.world.steps, sentStep{to: s.world.runner(a.Hop.Runner), step: a.Step})
+		case ProposeMove:
+			s.step(c, MoveAnswered{Better: c.Choose(2) == 0})
 		case Emit:
 			s.emitted(a.Token)
 		case Finish, Fail:
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/hashmodel"
@@ -24,6 +25,8 @@
 	slowFactor = 4
 	slowSteps  = 2
 	moveCost   = 300 * time.Millisecond
+	// stayTokens is how many tokens an answer stays after a move was no better.
+	stayTokens = 8
 )
 
 // Event is something that happened to a session.
@@ -50,6 +53,11 @@
 	Runner runner.ID
 }
 
+// MoveAnswered answers a ProposeMove.
+type MoveAnswered struct {
+	Better bool
+}
+
 // Quarantined says that the request must not run again.
 type Quarantined struct{}
 
@@ -72,6 +80,7 @@
 func (Tick) isEvent()              {}
 func (Cancelled) isEvent()         {}
 func (Quarantined) isEvent()       {}
+func (MoveAnswered) isEvent()      {}
 
 // Action is something to do for a session.
 type Action interface {
@@ -113,6 +122,13 @@
 	Took   time.Duration
 }
 
+// ProposeMove asks whether a path without a slow runner would be better.
+type ProposeMove struct {
+	Runner runner.ID
+	Took   time.Duration
+	Avoid  map[runner.ID]bool
+}
+
 // DropReply counts a reply that belongs to no step under way.
 type DropReply struct {
 	From runner.ID
@@ -144,6 +160,7 @@
 func (BlameRunner) isAction() {}
 func (DropReply) isAction()   {}
 func (ObserveStep) isAction() {}
+func (ProposeMove) isAction() {}
 func (Finish) isAction()      {}
 func (Fail) isAction()        {}
 
@@ -173,11 +190,15 @@
 	due    time.Time
 	sent   time.Time
 	resent bool
-	// slow counts the slow steps in a row at each runner of the path.
-	slow  map[runner.ID]int
-	avoid map[runner.ID]bool
-	paths int
-	ended bool
+	// slow counts the slow steps in a row at each runner of the path, and took
+	// is how long the last step of one position took there.
+	slow map[runner.ID]int
+	took map[runner.ID]time.Duration
+	// leaving is the runner whose leave was proposed, empty if none was.
+	leaving runner.ID
+	avoid   map[runner.ID]bool
+	paths   int
+	ended   bool
 }
 
 // NewSession returns the decider of an answer.
@@ -227,6 +248,8 @@
 		return s.tick(now)
 	case Cancelled:
 		return s.end()
+	case MoveAnswered:
+		return s.moveAnswered(now, e.Better)
 	case Quarantined:
 		return append([]Action{Fail{Reason: FailQuarantined}}, s.end()...)
 	}
@@ -246,6 +269,7 @@
 	s.epoch++
 	s.hop = 0
 	s.slow = map[runner.ID]int{}
+	s.took = map[runner.ID]time.Duration{}
 	step := s.newStep(0)
 	step.Tokens = append([]hashmodel.Token(nil), s.tokens...)
 	return []Action{s.send(now, step, false)}
@@ -263,7 +287,7 @@
 	s.step = step
 	s.sent = now
 	s.resent = again
-	s.due = now.Add(stallTimeout + stallFactor*hop.Expected)
+	s.due = now.Add(stallTimeout + stallFactor*max(hop.Expected, s.took[hop.Runner]))
 	return SendStep{Hop: hop, Step: step}
 }
 
@@ -290,6 +314,7 @@
 		return nil
 	}
 	took := now.Sub(s.sent)
+	s.took[from] = took
 	if took > slowStep && took > slowFactor*s.path[s.hop].Expected {
 		s.slow[from]++
 	} else {
@@ -350,13 +375,36 @@
 	if s.emitted >= s.config.MaxTokens {
 		return append(append(actions, Finish{}), s.end()...)
 	}
+	s.hop = 0
 	if slow, ok := s.tooSlow(); ok {
-		return append(actions, s.repath(slow)...)
+		s.due, s.leaving = time.Time{}, slow
+		avoid := maps.Clone(s.avoid)
+		avoid[slow] = true
+		return append(actions, ProposeMove{Runner: slow, Took: s.took[slow], Avoid: avoid})
 	}
-	s.hop = 0
-	step := s.newStep(runner.Position(ran))
-	step.Tokens = []hashmodel.Token{token}
-	return append(actions, s.send(now, step, false))
+	return append(actions, s.next(now))
+}
+
+// next sends the newest token on its way.
+func (s *Session) next(now time.Time) Action {
+	last := len(s.tokens) - 1
+	step := s.newStep(runner.Position(last))
+	step.Tokens = []hashmodel.Token{s.tokens[last]}
+	return s.send(now, step, false)
+}
+
+// moveAnswered leaves a slow runner, or stays and asks again later.
+func (s *Session) moveAnswered(now time.Time, better bool) []Action {
+	if s.leaving == "" || s.path == nil {
+		return nil
+	}
+	slow := s.leaving
+	s.leaving = ""
+	if better {
+		return s.repath(slow)
+	}
+	s.slow[slow] = -stayTokens
+	return []Action{s.next(now)}
 }
 
 // streamLost sends the step again on a new connection: the runner answers a
--- a/internal/engine/status.go
+++ b/internal/engine/status.go
@@ -27,6 +27,7 @@
 	Leaving        bool   `json:"leaving"`
 	Loading        bool   `json:"loading"`
 	Queued         int    `json:"queued"`
+	Sessions       int    `json:"sessions"`
 	PositionMicros int64  `json:"position-micros"`
 	BatchMicros    int64  `json:"batch-micros"`
 	Fence          int64  `json:"fence"`
@@ -80,7 +81,7 @@
 		Incarnation: w.Incarnation,
 		Model:       environment.ModelName(w.Model), Version: environment.ModelVersion(w.Version),
 		Layers: w.Layers, Range: runner.LayerRange{First: w.First, End: w.End},
-		Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued,
+		Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued, Sessions: w.Sessions,
 		BatchCost:    time.Duration(w.BatchMicros) * time.Microsecond,
 		PositionCost: time.Duration(w.PositionMicros) * time.Microsecond,
 		Fence:        w.Fence,
--- /dev/null
+++ b/internal/experiment/fleet.go
@@ -0,0 +1,238 @@
+// Package experiment measures the decisions of the router against bounds and
+// baselines, each in one run, with stand-ins in the same process.
+//
+// Usage: run one and print its report:
+//
+//	report, err := experiment.Fleet(ctx, experiment.FleetOptions{...})
+//	report.WriteText(os.Stdout)
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/hashmodel"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/internal/standin"
+)
+
+const (
+	fleetLayers   = 12
+	fleetStages   = 3
+	fleetModel    = "m"
+	fleetVersion  = "v1"
+	fleetZone     = "zone-a"
+	engineBatch   = 64
+	headerTimeout = 5 * time.Second
+	statusEvery   = 250 * time.Millisecond
+)
+
+// kind is a kind of accelerator with its link.
+type kind struct {
+	batchCost time.Duration
+	tokenCost time.Duration
+	linkDelay time.Duration
+}
+
+// kinds differ eightfold in speed and a hundredfold in their links.
+var kinds = []kind{
+	{batchCost: 20 * time.Millisecond, tokenCost: 200 * time.Microsecond, linkDelay: 100 * time.Microsecond},
+	{batchCost: 40 * time.Millisecond, tokenCost: 400 * time.Microsecond, linkDelay: time.Millisecond},
+	{batchCost: 80 * time.Millisecond, tokenCost: time.Millisecond, linkDelay: 4 * time.Millisecond},
+	{batchCost: 120 * time.Millisecond, tokenCost: 2 * time.Millisecond, linkDelay: 10 * time.Millisecond},
+}
+
+// perSecond is the rate of a kind that always runs full batches.
+func (k kind) perSecond() float64 {
+	return engineBatch / (k.batchCost + engineBatch*k.tokenCost).Seconds()
+}
+
+// FleetOptions describes a throughput experiment.
+type FleetOptions struct {
+	Runners   int
+	Sessions  int
+	MaxTokens int
+	Warmup    time.Duration
+	Duration  time.Duration
+	Seed      uint64
+}
+
+// FleetResult is what one policy reached.
+type FleetResult struct {
+	Policy          string
+	TokensPerSecond float64
+	Wrong           int64
+	Failed          int64
+}
+
+// FleetReport compares policies with the bound that the fleet allows.
+type FleetReport struct {
+	Options FleetOptions
+	Bound   float64
+	Results []FleetResult
+}
+
+// WriteText writes the report for a reader.
+func (r *FleetReport) WriteText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "runners %d\tsessions %d\tbound %.0f tokens/s\n", r.Options.Runners, r.Options.Sessions, r.Bound)
+	for _, result := range r.Results {
+		_, _ = fmt.Fprintf(table, "%s\t%.0f tokens/s\t%.3f of the bound\twrong %d\tfailed %d\n",
+			result.Policy, result.TokensPerSecond, result.TokensPerSecond/r.Bound, result.Wrong, result.Failed)
+	}
+	return table.Flush()
+}
+
+// fleet is runners of mixed kinds in this process.
+type fleet struct {
+	instances []instancelist.Instance
+	bound     float64
+	close     func()
+}
+
+func startFleet(o FleetOptions) (*fleet, error) {
+	random := rand.New(rand.NewPCG(o.Seed, o.Seed))
+	f := &fleet{}
+	var servers []*http.Server
+	f.close = func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	}
+	rates := make([]float64, fleetStages)
+	order := random.Perm(o.Runners)
+	for i := range o.Runners {
+		stage, k := i%fleetStages, kinds[order[i]%len(kinds)]
+		rates[stage] += k.perSecond()
+		id := fmt.Sprintf("runner-%02d", i)
+		handler := standin.NewEngine(standin.EngineConfig{
+			ID: runner.ID(id), Model: fleetModel, Version: fleetVersion, Layers: fleetLayers,
+			Range:     runner.LayerRange{First: stage * fleetLayers / fleetStages, End: (stage + 1) * fleetLayers / fleetStages},
+			BatchCost: k.batchCost, TokenCost: k.tokenCost, LinkDelay: k.linkDelay,
+		}).Handler()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.close()
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, server)
+		go func() { _ = server.Serve(listener) }()
+		f.instances = append(f.instances, instancelist.Instance{
+			ID: instancelist.ID(id), Kind: instancelist.Engine, Zone: fleetZone, Address: listener.Addr().String(), Serves: fleetModel,
+		})
+	}
+	// The stages follow each other without other ways around, so the maximum
+	// flow is that of the narrowest.
+	f.bound = rates[0]
+	for _, rate := range rates {
+		f.bound = min(f.bound, rate)
+	}
+	return f, nil
+}
+
+// Fleet saturates a fleet under each policy in turn.
+func Fleet(ctx context.Context, o FleetOptions) (*FleetReport, error) {
+	report := &FleetReport{Options: o}
+	policies := []struct {
+		name   string
+		policy engine.Policy
+	}{
+		{"cheapest", engine.Cheapest{}},
+		{"random", engine.AnyPath{Random: rand.New(rand.NewPCG(o.Seed, 1))}},
+		{"round-robin", engine.NewNextPath()},
+	}
+	for _, p := range policies {
+		f, err := startFleet(o)
+		if err != nil {
+			return nil, err
+		}
+		report.Bound = f.bound
+		result := saturate(ctx, f, p.policy, o)
+		result.Policy = p.name
+		report.Results = append(report.Results, result)
+		f.close()
+	}
+	return report, nil
+}
+
+// saturate keeps a fixed number of sessions running and counts the tokens
+// after the warm-up.
+func saturate(ctx context.Context, f *fleet, policy engine.Policy, o FleetOptions) FleetResult {
+	ctx, cancel := context.WithTimeout(ctx, o.Warmup+o.Duration)
+	defer cancel()
+	pool := engine.NewPool(fleetZone)
+	pool.Update(func(fleet *engine.Fleet) {
+		fleet.SetInstances(f.instances)
+		fleet.SetPolicy(policy)
+	})
+	poll(ctx, pool, f)
+	go func() {
+		for ctx.Err() == nil {
+			poll(ctx, pool, f)
+			time.Sleep(statusEvery)
+		}
+	}()
+	var result FleetResult
+	var tokens atomic.Int64
+	began := time.Now()
+	counting := func() bool { return time.Since(began) > o.Warmup }
+	var running sync.WaitGroup
+	for i := range o.Sessions {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				answer(ctx, pool, fmt.Sprintf("session %d answer %d of a long day", i, n), o.MaxTokens, &result, func() {
+					if counting() {
+						tokens.Add(1)
+					}
+				})
+			}
+		}()
+	}
+	running.Wait()
+	result.TokensPerSecond = float64(tokens.Load()) / o.Duration.Seconds()
+	return result
+}
+
+func poll(ctx context.Context, pool *engine.Pool, f *fleet) {
+	client := engine.NewStatusClient()
+	for _, i := range f.instances {
+		at := time.Now()
+		report, err := client.Fetch(ctx, runner.ID(i.ID), i.Address)
+		if err == nil {
+			pool.Update(func(fleet *engine.Fleet) { fleet.Reported(at, runner.ID(i.ID), report) })
+		}
+	}
+}
+
+// answer makes one answer and verifies each token.
+func answer(ctx context.Context, pool *engine.Pool, prompt string, maxTokens int, result *FleetResult, count func()) {
+	tokens := hashmodel.Tokenize(prompt)
+	want := hashmodel.Answer(fleetVersion, fleetLayers, tokens, maxTokens)
+	seen := 0
+	err := pool.Generate(ctx, engine.Request{
+		Model: fleetModel, Version: fleetVersion, Layers: fleetLayers, Prompt: tokens, MaxTokens: maxTokens,
+	}, func(t hashmodel.Token) error {
+		if seen >= len(want) || t != want[seen] {
+			atomic.AddInt64(&result.Wrong, 1)
+		}
+		seen++
+		count()
+		return nil
+	})
+	if err != nil && ctx.Err() == nil {
+		atomic.AddInt64(&result.Failed, 1)
+	}
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -46,6 +46,7 @@
 	TripMicros     int64  `cbor:"13,keyasint"`
 	Fence          int64  `cbor:"14,keyasint"`
 	AgeMillis      int64  `cbor:"15,keyasint,omitempty"`
+	Sessions       int    `cbor:"16,keyasint,omitempty"`
 }
 
 type wireCrash struct {
@@ -239,7 +240,7 @@
 	r := &l.Report
 	return wireLoad{
 		Runner: string(l.Runner), Incarnation: r.Incarnation, Model: string(r.Model), Version: string(r.Version),
-		Layers: r.Layers, First: r.Range.First, End: r.Range.End, Leaving: r.Leaving, Loading: r.Loading, Queued: r.Queued,
+		Layers: r.Layers, First: r.Range.First, End: r.Range.End, Leaving: r.Leaving, Loading: r.Loading, Queued: r.Queued, Sessions: r.Sessions,
 		BatchMicros: r.BatchCost.Microseconds(), PositionMicros: r.PositionCost.Microseconds(),
 		TripMicros: r.RoundTrip.Microseconds(), Fence: r.Fence, AgeMillis: l.AgeMillis,
 	}
@@ -253,7 +254,7 @@
 			Report: engine.Report{
 				Incarnation: w.Incarnation, Model: environment.ModelName(w.Model), Version: environment.ModelVersion(w.Version),
 				Layers: w.Layers, Range: runner.LayerRange{First: w.First, End: w.End},
-				Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued,
+				Leaving: w.Leaving, Loading: w.Loading, Queued: w.Queued, Sessions: w.Sessions,
 				BatchCost:    time.Duration(w.BatchMicros) * time.Microsecond,
 				PositionCost: time.Duration(w.PositionMicros) * time.Microsecond,
 				RoundTrip:    time.Duration(w.TripMicros) * time.Microsecond,
