Hedged idempotent calls, a place kept for modest tenants, admission proved

Cause: the admission proof found a request turned away without a time to come back (51 histories); idempotent calls waited for a backend server that hung to the end of their timeout; one tenant could fill every place. Ruled out: pre-emption of running answers; it cuts off what is in progress. Conclusion: a tenth of the places is for tenants below their fair share.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -14,6 +14,9 @@
 	maxQueued = 4096
 	// idleTenant is when the state of a tenant without requests is dropped.
 	idleTenant = time.Minute
+	// reservedPart of the places is kept for tenants below their fair share, so
+	// that one greedy tenant can't make the others wait.
+	reservedPart = 0.1
 	// durationWeight is the weight of the newest sample in the mean duration.
 	durationWeight = 0.1
 )
@@ -46,6 +49,7 @@
 
 type tenantState struct {
 	limiter *rate.Limiter
+	weight  int
 	running int
 	queued  int
 	finish  float64
@@ -59,6 +63,8 @@
 type Admission struct {
 	limit   int
 	running int
+	// weights is the sum of the weights of all tenants with requests.
+	weights int
 	tenants map[environment.TenantName]*tenantState
 	queue   fairQueue
 	virtual float64
@@ -92,8 +98,9 @@
 	burst := max(1, int(perSecond))
 	state, ok := a.tenants[t.Name]
 	if !ok {
-		state = &tenantState{limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
+		state = &tenantState{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), weight: t.Weight}
 		a.tenants[t.Name] = state
+		a.weights += t.Weight
 	}
 	state.seen = now
 	if state.limiter.Limit() != rate.Limit(perSecond) {
@@ -112,7 +119,7 @@
 		t.admitted <- problem
 		return
 	}
-	if a.running < a.limit && len(a.queue) == 0 {
+	if a.mayStart(state) {
 		a.start(now, state, t)
 		return
 	}
@@ -126,7 +133,7 @@
 // turnAway returns the problem of a request that can't be served in time.
 func (a *Admission) turnAway(now time.Time, state *tenantState, t *Ticket) *ProblemError {
 	if state.running+state.queued >= t.Tenant.Concurrent {
-		return &ProblemError{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: a.wait(state.queued + 1)}
+		return &ProblemError{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: max(a.wait(state.queued+1), time.Second)}
 	}
 	reservation := state.limiter.ReserveN(now, 1)
 	if !reservation.OK() || reservation.DelayFrom(now) > 0 {
@@ -134,16 +141,33 @@
 		reservation.CancelAt(now)
 		return &ProblemError{Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up", RetryAfter: max(min(delay, time.Minute), time.Second)}
 	}
-	wait := a.wait(a.ahead(state, t) + 1)
-	if a.running < a.limit && len(a.queue) == 0 {
+	if a.mayStart(state) {
 		return nil
 	}
+	wait := a.wait(a.ahead(state, t) + 1)
 	if len(a.queue) >= maxQueued || wait > t.Deadline {
 		return &ProblemError{Status: 503, Code: CodeOverloaded, Detail: "the wait would exceed the class's deadline", RetryAfter: max(wait, time.Second)}
 	}
 	return nil
 }
 
+// mayStart reports whether a tenant's request may run now. Those that the
+// tenant has queued go first.
+func (a *Admission) mayStart(state *tenantState) bool {
+	return state.queued == 0 && a.hasPlace(state)
+}
+
+// hasPlace reports whether a place is free for a tenant. The last places are
+// for tenants below their fair share.
+func (a *Admission) hasPlace(state *tenantState) bool {
+	reserved := int(reservedPart * float64(a.limit))
+	if a.running < a.limit-reserved {
+		return true
+	}
+	share := float64(a.limit) * float64(state.weight) / float64(a.weights)
+	return a.running < a.limit && float64(state.running) < share
+}
+
 // ahead counts the queued requests that would be served before t.
 func (a *Admission) ahead(state *tenantState, t *Ticket) int {
 	finish := max(a.virtual, state.finish) + t.Cost/float64(t.Tenant.Weight)
@@ -175,8 +199,8 @@
 	state.running--
 	a.sample(now.Sub(t.started))
 	a.Expire(now)
-	for a.running < a.limit && len(a.queue) > 0 {
-		next := heap.Pop(&a.queue).(*Ticket)
+	for next := a.nextTicket(now); next != nil; next = a.nextTicket(now) {
+		heap.Remove(&a.queue, next.index)
 		a.virtual = max(a.virtual, next.finish-next.Cost/float64(next.Tenant.Weight))
 		state := a.tenant(now, next.Tenant)
 		state.queued--
@@ -184,6 +208,18 @@
 	}
 }
 
+// nextTicket returns the queued request with the least virtual finish whose
+// tenant has a place, nil if there is none.
+func (a *Admission) nextTicket(now time.Time) *Ticket {
+	var best *Ticket
+	for _, t := range a.queue {
+		if (best == nil || t.finish < best.finish) && a.hasPlace(a.tenant(now, t.Tenant)) {
+			best = t
+		}
+	}
+	return best
+}
+
 func (a *Admission) sample(took time.Duration) {
 	if a.duration == 0 {
 		a.duration = took
@@ -210,6 +246,7 @@
 	}
 	for name, state := range a.tenants {
 		if state.running+state.queued == 0 && now.Sub(state.seen) > idleTenant {
+			a.weights -= state.weight
 			delete(a.tenants, name)
 		}
 	}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -24,6 +24,13 @@
 	// maxRecordedBody bounds the body that an outcome repeats on the log.
 	maxRecordedBody = 8 << 10
 	idempotencyKey  = "Idempotency-Key"
+
+	// maxAttempts bounds the tries of one idempotent call.
+	maxAttempts = 3
+	// A call is hedged after hedgeFactor times what calls usually take.
+	hedgeFactor   = 5
+	minHedgeDelay = 50 * time.Millisecond
+	usualWeight   = 0.1
 )
 
 // Request is a call to a plain service.
@@ -76,7 +83,9 @@
 	mu       sync.Mutex
 	backends *Backends
 	budget   *RetryBudget
-	counts   Counts
+	// usual is how long a call takes, averaged over the latest.
+	usual  time.Duration
+	counts Counts
 }
 
 // NewClient returns a client in an availability zone.
@@ -112,26 +121,83 @@
 	return c.counts
 }
 
-// Call makes an idempotent call, and repeats it at other backend servers while
-// the retry budget allows. The error is a *CallError or a *NoBackendError.
+// Call makes an idempotent call. Where the retry budget allows, it is repeated
+// at another backend server when the first fails, and hedged there when the
+// first takes far longer than usual: an open connection may have gone silent.
+// The error is a *CallError or a *NoBackendError.
 func (c *Client) Call(ctx context.Context, request Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	defer cancel()
-	tried := map[instancelist.ID]bool{}
+	h := hedge{client: c, request: request, tried: map[instancelist.ID]bool{}, ended: make(chan attempt, maxAttempts)}
+	if err := h.start(ctx, c.pooled); err != nil {
+		return Response{}, err
+	}
+	timer := time.NewTimer(c.hedgeDelay())
+	defer timer.Stop()
 	for {
-		backend, err := c.begin(request.Service, tried)
-		if err != nil {
-			return Response{}, err
-		}
-		tried[backend.ID] = true
-		response, err := c.send(ctx, c.pooled, backend.Address, request)
-		c.end(backend, err)
-		if err == nil || ctx.Err() != nil || !c.mayRetry(request.Service, tried) {
-			return response, err
+		select {
+		case <-timer.C:
+			h.again(ctx)
+		case a := <-h.ended:
+			h.open--
+			if a.err == nil || ctx.Err() != nil {
+				return a.response, a.err
+			}
+			h.again(ctx)
+			if h.open == 0 {
+				return Response{}, a.err
+			}
 		}
 	}
 }
 
+// attempt is one try of a call that has ended.
+type attempt struct {
+	response Response
+	err      error
+}
+
+// hedge is the tries of one idempotent call.
+type hedge struct {
+	client  *Client
+	request Request
+	tried   map[instancelist.ID]bool
+	ended   chan attempt
+	open    int
+}
+
+func (h *hedge) start(ctx context.Context, client *http.Client) error {
+	backend, err := h.client.begin(h.request.Service, h.tried)
+	if err != nil {
+		return err
+	}
+	h.tried[backend.ID] = true
+	h.open++
+	go func() {
+		began := time.Now()
+		response, err := h.client.send(ctx, client, backend.Address, h.request)
+		h.client.end(ctx, backend, time.Since(began), err)
+		h.ended <- attempt{response: response, err: err}
+	}()
+	return nil
+}
+
+// again tries another backend server, over a new connection, where one is left
+// and the budget allows.
+func (h *hedge) again(ctx context.Context) {
+	if len(h.tried) >= maxAttempts || !h.client.mayRetry(h.request.Service, h.tried) {
+		return
+	}
+	_ = h.start(ctx, h.client.fresh)
+}
+
+// hedgeDelay is the time after which a call counts as far slower than usual.
+func (c *Client) hedgeDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(hedgeFactor*c.usual, minHedgeDelay)
+}
+
 func (c *Client) begin(name environment.ServiceName, tried map[instancelist.ID]bool) (*Backend, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -144,16 +210,20 @@
 	return backend, nil
 }
 
-func (c *Client) end(backend *Backend, err error) {
+// end accounts for a try. One that was given up because another came first
+// says nothing about its backend server.
+func (c *Client) end(ctx context.Context, backend *Backend, took time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	backend.inFlight--
-	if err != nil {
+	switch {
+	case err == nil:
+		backend.Succeeded()
+		c.budget.Succeeded()
+		c.usual += time.Duration(usualWeight * float64(took-c.usual))
+	case !errors.Is(ctx.Err(), context.Canceled):
 		backend.Failed(time.Now())
-		return
 	}
-	backend.Succeeded()
-	c.budget.Succeeded()
 }
 
 // mayRetry spends a retry only where another backend server is left.
@@ -232,8 +302,9 @@
 	d.tried[backend.ID] = true
 	ctx, cancel := context.WithTimeout(ctx, d.request.Timeout)
 	defer cancel()
+	began := time.Now()
 	response, err := d.client.send(ctx, d.client.fresh, backend.Address, d.request)
-	d.client.end(backend, err)
+	d.client.end(ctx, backend, time.Since(began), err)
 	var failed *CallError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/service/client_test.go
@@ -0,0 +1,127 @@
+package service
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+)
+
+// backendsOf starts one backend server for each handler, and a client that
+// knows them.
+func backendsOf(t *testing.T, handlers ...http.HandlerFunc) *Client {
+	t.Helper()
+	client := NewClient("zone-a")
+	var list []instancelist.Instance
+	for i, h := range handlers {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		list = append(list, instancelist.Instance{
+			ID: instancelist.ID(fmt.Sprint("s", i)), Zone: "zone-a", Address: server.Listener.Addr().String(), Serves: "lockers",
+		})
+	}
+	client.SetInstances(list)
+	return client
+}
+
+func ok(w http.ResponseWriter, _ *http.Request)   { _, _ = w.Write([]byte("ok")) }
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+func drop(http.ResponseWriter, *http.Request)     { panic(http.ErrAbortHandler) }
+
+var lookup = Request{Service: "lockers", Method: http.MethodGet, Path: "/lockers/7", Timeout: 5 * time.Second}
+
+// TestCallGoesOn meets an idempotent call with backend servers that fail or
+// hang.
+func TestCallGoesOn(t *testing.T) {
+	for name, handlers := range map[string][]http.HandlerFunc{
+		"first drops the connection": {drop, ok},
+		"first hangs":                {hang, ok},
+		"two are gone":               {drop, hang, ok},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response, err := backendsOf(t, handlers...).Call(t.Context(), lookup)
+			assert.NilError(t, err)
+			assert.Equal(t, string(response.Body), "ok")
+		})
+	}
+}
+
+// TestDispatchOnce checks what a non-idempotent call is told about whether
+// anything was written.
+func TestDispatchOnce(t *testing.T) {
+	client := backendsOf(t, drop)
+	_, lost := client.NewDispatcher(lookup).Dispatch(t.Context()).(claim.ResponseLost)
+	assert.Assert(t, lost)
+	client.SetInstances([]instancelist.Instance{{ID: "gone", Address: "127.0.0.1:1", Serves: "lockers"}})
+	_, unwritten := client.NewDispatcher(lookup).Dispatch(t.Context()).(claim.NotWritten)
+	assert.Assert(t, unwritten)
+	client.SetInstances([]instancelist.Instance{{ID: "leaving", Address: "127.0.0.1:1", Serves: "lockers", Leaving: true}})
+	_, err := client.Call(t.Context(), lookup)
+	assert.Assert(t, errors.As(err, new(*NoBackendError)))
+}
+
+// TestNoRetryStorm lets every backend server fail and compares the calls that
+// reach them with the calls made.
+func TestNoRetryStorm(t *testing.T) {
+	const calls = 400
+	for name, test := range map[string]struct {
+		budget *RetryBudget
+		limit  float64
+	}{
+		"with the budget":    {NewRetryBudget(), 1.1},
+		"without the budget": {&RetryBudget{tokens: 1e9}, 3.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var reached atomic.Int64
+			failing := func(http.ResponseWriter, *http.Request) {
+				reached.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+			client := backendsOf(t, failing, failing, failing)
+			client.budget = test.budget
+			var running sync.WaitGroup
+			for range calls {
+				running.Add(1)
+				go func() {
+					defer running.Done()
+					_, _ = client.Call(t.Context(), lookup)
+				}()
+			}
+			running.Wait()
+			ratio := float64(reached.Load()) / calls
+			t.Logf("%s: %.2f calls reach a backend server for each call made", name, ratio)
+			assert.Assert(t, ratio <= test.limit, "%.2f", ratio)
+		})
+	}
+}
+
+// TestEjection checks that failing backend servers come last but are never
+// all left out.
+func TestEjection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBackends("zone-a")
+	b.SetInstances([]instancelist.Instance{
+		{ID: "near", Zone: "zone-a", Serves: "lockers"}, {ID: "far", Zone: "zone-b", Serves: "lockers"},
+	})
+	choose := func() instancelist.ID {
+		chosen, err := b.Choose(now, "lockers", nil)
+		assert.NilError(t, err)
+		return chosen.ID
+	}
+	assert.Equal(t, choose(), instancelist.ID("near"))
+	b.all["near"].Failed(now)
+	assert.Equal(t, choose(), instancelist.ID("far"))
+	b.all["far"].Failed(now)
+	assert.Equal(t, choose(), instancelist.ID("near"))
+	now = now.Add(ejectMin)
+	assert.Equal(t, choose(), instancelist.ID("near"))
+}
