Peer mesh with bridges, shared loads and demand, crash checks that wait

Ruled out: convicting everybody who was there.

Links: every instance of a zone, two bridges to each other zone; loads are told once a second as deltas; tenants' limits are split half evenly, half by demand. Model versions are loaded runner by runner.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,19 @@
 	MULBERRYHEAD_PROVE_CHECKS=$(CHECKS) MULBERRYHEAD_PROVE_SEED=$(SEED) \
 		$(GO) test -count=1 -timeout 60m -v -run 'Prove[A-Za-z]*$$' \
 		./internal/engine ./internal/logservice/... ./internal/caller
+
+# Benchmarks and experiments, each against a baseline in the same run.
+bench: build
+	$(GO) test -run '^$$' -bench . -benchtime 300x ./internal/engine
+	bin/mulberryhead experiment batching
+	bin/mulberryhead experiment fleet
+	bin/mulberryhead experiment spread --instances 10 --instances 40 --instances 100 --topology zone-mesh --topology full-mesh --topology random-view
+
+# Fuzzing of what comes from outside.
+FUZZTIME ?= 20s
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzDecodeFrame -fuzztime $(FUZZTIME) ./internal/runner
+	$(GO) test -run '^$$' -fuzz FuzzLedger -fuzztime $(FUZZTIME) ./internal/logservice/claim
+	$(GO) test -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME) ./internal/logservice/document
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./pkg/environment
--- a/cmd/mulberryhead-demo/main.go
+++ b/cmd/mulberryhead-demo/main.go
@@ -83,7 +83,7 @@
 
 func publish(ctx context.Context, c *localcluster.Cluster) error {
 	tried, err := c.Entries[0].Admin().Publish(ctx, operator.Publication{
-		Environment: localcluster.Environment, ID: uuid.New(), Body: localcluster.Document(),
+		Environment: localcluster.Environment, ID: uuid.New(), Body: localcluster.Document(localcluster.ModelVersion),
 	})
 	if err != nil {
 		return fmt.Errorf("publish: %w", err)
--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -53,7 +53,11 @@
 	running int
 	queued  int
 	finish  float64
-	seen    time.Time
+	// share is the part of the tenant's rate that this instance may use, and
+	// asked the requests since the last Demand.
+	share float64
+	asked int
+	seen  time.Time
 }
 
 // Admission decides which request runs next and which is turned away. Requests
@@ -70,7 +74,8 @@
 	virtual float64
 	// duration is how long a request runs, averaged over the latest.
 	duration time.Duration
-	share    float64
+	// share is the part of the rate of a tenant that is new here.
+	share float64
 }
 
 // NewAdmission returns an admission that lets limit requests run at once.
@@ -78,9 +83,26 @@
 	return &Admission{limit: limit, tenants: map[environment.TenantName]*tenantState{}, share: 1}
 }
 
-// SetShare sets the part of each tenant's rate that this instance may use.
-func (a *Admission) SetShare(share float64) {
-	a.share = share
+// SetShares sets the part of each tenant's rate that this instance may use. An
+// empty name stands for a tenant that is new here.
+func (a *Admission) SetShares(share func(environment.TenantName) float64) {
+	a.share = share("")
+	for name, state := range a.tenants {
+		state.share = share(name)
+	}
+}
+
+// Demand returns the requests of each tenant since the last call, for at most
+// limit tenants.
+func (a *Admission) Demand(limit int) map[environment.TenantName]float64 {
+	demand := map[environment.TenantName]float64{}
+	for name, state := range a.tenants {
+		if state.asked > 0 && len(demand) < limit {
+			demand[name] = float64(state.asked)
+		}
+		state.asked = 0
+	}
+	return demand
 }
 
 // Running returns the number of requests that run.
@@ -94,15 +116,15 @@
 }
 
 func (a *Admission) tenant(now time.Time, t environment.Tenant) *tenantState {
-	perSecond := t.RequestsPerSecond * a.share
-	burst := max(1, int(perSecond))
 	state, ok := a.tenants[t.Name]
 	if !ok {
-		state = &tenantState{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), weight: t.Weight}
+		state = newTenantState(t, a.share)
 		a.tenants[t.Name] = state
 		a.weights += t.Weight
 	}
 	state.seen = now
+	perSecond := t.RequestsPerSecond * state.share
+	burst := burstOf(perSecond)
 	if state.limiter.Limit() != rate.Limit(perSecond) {
 		state.limiter.SetLimitAt(now, rate.Limit(perSecond))
 		state.limiter.SetBurstAt(now, burst)
@@ -110,11 +132,26 @@
 	return state
 }
 
+// newTenantState starts with a full bucket, so that a tenant's first request
+// is not refused.
+func newTenantState(t environment.Tenant, share float64) *tenantState {
+	perSecond := t.RequestsPerSecond * share
+	return &tenantState{
+		limiter: rate.NewLimiter(rate.Limit(perSecond), burstOf(perSecond)), weight: t.Weight, share: share,
+	}
+}
+
+// burstOf is what a tenant may send at once after a pause.
+func burstOf(perSecond float64) int {
+	return max(1, int(perSecond))
+}
+
 // Arrive takes a request. Its ticket is answered at once or by a later Done,
 // Expire or Abandon.
 func (a *Admission) Arrive(now time.Time, t *Ticket) {
 	t.arrived = now
 	state := a.tenant(now, t.Tenant)
+	state.asked++
 	if problem := a.turnAway(now, state, t); problem != nil {
 		t.admitted <- problem
 		return
@@ -135,11 +172,8 @@
 	if state.running+state.queued >= t.Tenant.Concurrent {
 		return &ProblemError{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: max(a.wait(state.queued+1), time.Second)}
 	}
-	reservation := state.limiter.ReserveN(now, 1)
-	if !reservation.OK() || reservation.DelayFrom(now) > 0 {
-		delay := reservation.DelayFrom(now)
-		reservation.CancelAt(now)
-		return &ProblemError{Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up", RetryAfter: max(min(delay, time.Minute), time.Second)}
+	if problem := state.charge(now); problem != nil {
+		return problem
 	}
 	if a.mayStart(state) {
 		return nil
@@ -151,6 +185,27 @@
 	return nil
 }
 
+// Charge takes one request from a tenant's rate. It returns the problem of a
+// request that is over it.
+func (a *Admission) Charge(now time.Time, tenant environment.Tenant) *ProblemError {
+	state := a.tenant(now, tenant)
+	state.asked++
+	return state.charge(now)
+}
+
+func (s *tenantState) charge(now time.Time) *ProblemError {
+	reservation := s.limiter.ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	if reservation.OK() && delay == 0 {
+		return nil
+	}
+	reservation.CancelAt(now)
+	return &ProblemError{
+		Status: 429, Code: CodeTenantRate, Detail: "the tenant's requests per second are used up",
+		RetryAfter: max(min(delay, time.Minute), time.Second),
+	}
+}
+
 // mayStart reports whether a tenant's request may run now. Those that the
 // tenant has queued go first.
 func (a *Admission) mayStart(state *tenantState) bool {
--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -92,7 +92,7 @@
 			case problem == nil:
 				running = append(running, t)
 			case problem.RetryAfter <= 0:
-				return nil, nil, fmt.Errorf("turned away without a time to come back: %v", problem)
+				return nil, nil, fmt.Errorf("turned away without a time to come back: %w", problem)
 			}
 			continue
 		default:
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -54,7 +54,7 @@
 
 type noForwarder struct{}
 
-func (noForwarder) Forward(context.Context, claim.Incarnation, ForwardedCall) (ForwardedAnswer, bool) {
+func (noForwarder) Forward(context.Context, Issuer, ForwardedCall) (ForwardedAnswer, bool) {
 	return ForwardedAnswer{}, false
 }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -54,7 +54,13 @@
 // Forwarder hands a call with a bound key to the instance that issued it.
 type Forwarder interface {
 	// Forward returns false when that instance cannot be reached.
-	Forward(ctx context.Context, to claim.Incarnation, call ForwardedCall) (ForwardedAnswer, bool)
+	Forward(ctx context.Context, to Issuer, call ForwardedCall) (ForwardedAnswer, bool)
+}
+
+// Issuer is the run of an instance that issued a bound key.
+type Issuer struct {
+	Instance    instancelist.ID
+	Incarnation claim.Incarnation
 }
 
 // ForwardedCall is a call to a plain service on its way to another instance.
@@ -165,11 +171,20 @@
 	}
 }
 
-// SetShare sets the part of each tenant's rate that this instance may use.
-func (s *Server) SetShare(share float64) {
+// SetShares sets the part of each tenant's rate that this instance may use. An
+// empty name stands for a tenant that is new here.
+func (s *Server) SetShares(share func(environment.TenantName) float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admission.SetShares(share)
+}
+
+// Demand returns the requests of each tenant since the last call, for at most
+// limit tenants.
+func (s *Server) Demand(limit int) map[environment.TenantName]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.admission.SetShare(share)
+	return s.admission.Demand(limit)
 }
 
 // Run turns away queued requests whose deadline has passed, until ctx ends.
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -10,13 +10,14 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
 	"mulberryhead.org/mulberryhead/internal/service"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-// boundSeparator stands between a bound key's UUID and the incarnation of the
-// instance that issued it.
+// boundSeparator stands between a bound key's UUID, the incarnation that issued
+// it, and the instance's id.
 const boundSeparator = "."
 
 // serviceKey is a parsed idempotency key.
@@ -25,7 +26,7 @@
 	text string
 	// bound is set for a key that only the incarnation issuer may dispatch.
 	bound  bool
-	issuer claim.Incarnation
+	issuer Issuer
 }
 
 func (s *Server) serviceCall(c *call) *ProblemError {
@@ -33,6 +34,12 @@
 	if problem != nil {
 		return problem
 	}
+	s.mu.Lock()
+	problem = s.admission.Charge(time.Now(), c.grant.Tenant)
+	s.mu.Unlock()
+	if problem != nil {
+		return problem
+	}
 	if operation.Idempotent {
 		return s.idempotentCall(c, request)
 	}
@@ -114,7 +121,9 @@
 	key := serviceKey{text: text, bound: bound}
 	id, err := uuid.Parse(plain)
 	if err == nil && bound {
-		key.issuer, err = uuid.Parse(issuer)
+		incarnation, instance, _ := strings.Cut(issuer, boundSeparator)
+		key.issuer.Instance = instancelist.ID(instance)
+		key.issuer.Incarnation, err = uuid.Parse(incarnation)
 	}
 	if err != nil || id.Version() != 7 {
 		return serviceKey{}, &ProblemError{
@@ -141,7 +150,7 @@
 func (s *Server) onceCall(c *call, request service.Request, key serviceKey, honours bool) *ProblemError {
 	tracker := s.config.Claims
 	if key.bound {
-		if key.issuer != s.config.Incarnation {
+		if key.issuer.Incarnation != s.config.Incarnation {
 			return s.forward(c, request, key)
 		}
 		tracker = s.config.Local
@@ -264,7 +273,7 @@
 	}
 	return c.writeJSON(http.StatusCreated, struct {
 		Key string `json:"key"`
-	}{id.String() + boundSeparator + s.config.Incarnation.String()})
+	}{id.String() + boundSeparator + s.config.Incarnation.String() + boundSeparator + string(s.config.Instance)})
 }
 
 func (s *Server) outcome(c *call) *ProblemError {
@@ -276,7 +285,7 @@
 	tracker := s.config.Claims
 	if key.bound {
 		tracker = s.config.Local
-		if key.issuer != s.config.Incarnation {
+		if key.issuer.Incarnation != s.config.Incarnation {
 			return s.forward(c, service.Request{Method: http.MethodGet}, key)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,8 @@
 	mu      sync.Mutex
 	view    *instancelist.View
 	applied map[document.Key]document.Version
-	reports map[string]sharedReport
+	sharer  *loadSharer
+	demands *demands
 }
 
 // New returns a daemon that has not started. listening is called with each
@@ -64,7 +65,7 @@
 		settings: settings, listening: listening, incarnation: uuid.New(), metrics: newMetrics(),
 		logger: logger.With(zap.String("instance", string(settings.Instance))),
 		view:   instancelist.NewView(), applied: map[document.Key]document.Version{},
-		reports: map[string]sharedReport{},
+		sharer: newLoadSharer(), demands: newDemands(),
 	}
 	d.metrics.reportViolations(d.logger)
 	d.log = logservice.NewClient(settings.LogAddress, string(settings.Instance))
@@ -179,6 +180,8 @@
 	go d.watchInstances(ctx)
 	go d.watchRunners(ctx)
 	go d.giveOrders(ctx)
+	go d.shareLoads(ctx)
+	go d.shareDemand(ctx)
 }
 
 // leaveNotice is how long a leaving instance goes on answering new requests,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -19,6 +19,9 @@
 func (d *Daemon) LinkUp(from peer.Hello) {
 	asOf, _ := d.keeper.AsOf()
 	d.mesh.Send(from.Instance, peer.Documents{AsOf: asOf})
+	if from.Zone == d.settings.Zone {
+		d.mesh.Send(from.Instance, peer.Loads{Loads: d.sharer.whole()})
+	}
 }
 
 // Received implements peer.Receiver.
@@ -39,8 +42,15 @@
 		}
 	case peer.Loads:
 		d.takeLoads(m)
+	case peer.LoadDeltas:
+		d.takeDeltas(m)
+	case peer.Demand:
+		d.demands.take(time.Now(), from.Instance, m)
 	case peer.CrashNotice:
-		d.pool.Crashed(time.Now(), m.Request, m.Runner)
+		if d.pool.Crashed(time.Now(), m.Request, m.Runner) {
+			// Links form no full mesh over the zones, so news goes on.
+			d.mesh.Broadcast(m)
+		}
 	}
 }
 
@@ -53,9 +63,24 @@
 	})
 }
 
+func (d *Daemon) takeDeltas(m peer.LoadDeltas) {
+	now := time.Now()
+	d.pool.Update(func(f *engine.Fleet) {
+		for _, delta := range m.Deltas {
+			r, ok := f.Runner(delta.Runner)
+			if !ok || r.ReportedAt().IsZero() {
+				continue
+			}
+			report := r.Report
+			report.Queued, report.Sessions = delta.Queued, delta.Sessions
+			f.Reported(now, delta.Runner, report)
+		}
+	})
+}
+
 // Forward implements caller.Forwarder.
-func (d *Daemon) Forward(ctx context.Context, to claim.Incarnation, call caller.ForwardedCall) (caller.ForwardedAnswer, bool) {
-	answer, ok := d.mesh.Forward(ctx, to, peer.ForwardCall{
+func (d *Daemon) Forward(ctx context.Context, to caller.Issuer, call caller.ForwardedCall) (caller.ForwardedAnswer, bool) {
+	answer, ok := d.mesh.Forward(ctx, to.Instance, to.Incarnation, peer.ForwardCall{
 		Method: call.Method, Path: call.Path, Query: call.Query, Stage: call.Stage,
 		ContentType: call.ContentType, APIKey: call.APIKey, Key: call.Key, Body: call.Body,
 	})
--- a/internal/daemon/runners.go
+++ b/internal/daemon/runners.go
@@ -21,17 +21,11 @@
 	statusInterval = 250 * time.Millisecond
 	// reportPatience is the age of a shared report at which an instance polls
 	// the runner itself.
-	reportPatience = 1 * time.Second
+	reportPatience = 3 * time.Second
 	ordersInterval = 500 * time.Millisecond
 	concurrentPoll = 32
 )
 
-// sharedReport is what this instance last told its zone about a runner.
-type sharedReport struct {
-	report engine.Report
-	sent   time.Time
-}
-
 // watchInstances keeps the instance list up to date.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -111,25 +105,7 @@
 		return
 	}
 	d.pool.Update(func(f *engine.Fleet) { f.Reported(at, target.id, report) })
-	d.share(at, target.id, report)
-}
-
-// share tells the zone about a report that differs from the last one told, or
-// that was told long enough ago.
-func (d *Daemon) share(now time.Time, id runner.ID, report engine.Report) {
-	comparable := report
-	comparable.RoundTrip = 0
-	d.mu.Lock()
-	last, ok := d.reports[string(id)]
-	if ok && last.report == comparable && now.Sub(last.sent) < reportPatience/2 {
-		d.mu.Unlock()
-		return
-	}
-	d.reports[string(id)] = sharedReport{report: comparable, sent: now}
-	d.mu.Unlock()
-	d.mesh.BroadcastZone(peer.Loads{Loads: []peer.RunnerLoad{{
-		Runner: id, Report: report, AgeMillis: time.Since(now).Milliseconds(),
-	}}})
+	d.sharer.note(target.id, report)
 }
 
 // giveOrders orders runners to load versions while this instance holds the
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -253,6 +253,26 @@
 	return path, nil
 }
 
+// Servable returns the version to serve of a model: the wanted one where
+// runners cover its layers, else another one that they cover. While runners
+// load a new version, the old one goes on being served.
+func (f *Fleet) Servable(now time.Time, m environment.Model) environment.ModelVersion {
+	query := Query{Model: m.Name, Version: m.Version, Layers: m.Layers}
+	if _, err := f.Choose(now, query); err == nil {
+		return m.Version
+	}
+	for _, r := range f.Runners() {
+		query.Version = r.Report.Version
+		if r.Report.Model != m.Name {
+			continue
+		}
+		if _, err := f.Choose(now, query); err == nil {
+			return query.Version
+		}
+	}
+	return m.Version
+}
+
 func (f *Fleet) hop(now time.Time, r *Runner, q *Query) Hop {
 	return Hop{Runner: r.ID, Address: r.Address, Range: r.Report.Range, Expected: f.busy(now, r, q)}
 }
--- /dev/null
+++ b/internal/engine/fleet_test.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+func modelOf(version string) []environment.Model {
+	return []environment.Model{{Name: "m", Version: environment.ModelVersion(version), Layers: 4}}
+}
+
+// fleetOf returns a fleet of runners in zone-a, those whose id starts with
+// "far" in zone-b. What a report leaves out is filled in.
+func fleetOf(reports map[runner.ID]Report, now time.Time) *Fleet {
+	f := NewFleet("zone-a")
+	var list []instancelist.Instance
+	for id := range reports {
+		zone := instancelist.AvailabilityZone("zone-a")
+		if len(id) > 3 && id[:3] == "far" {
+			zone = "zone-b"
+		}
+		list = append(list, instancelist.Instance{ID: instancelist.ID(id), Zone: zone, Address: string(id)})
+	}
+	f.SetInstances(list)
+	for id, report := range reports {
+		report.Model, report.Layers = "m", 4
+		if report.Version == "" {
+			report.Version = "v1"
+		}
+		if report.Range.End == 0 {
+			report.Range.End = 4
+		}
+		if report.BatchCost == 0 {
+			report.BatchCost = time.Millisecond
+		}
+		f.Reported(now, id, report)
+	}
+	return f
+}
+
+// TestChoose lists fleets and the runner that a new answer starts at.
+func TestChoose(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		reports map[runner.ID]Report
+		change  func(f *Fleet)
+		query   Query
+		want    runner.ID
+	}{
+		"less busy": {
+			reports: map[runner.ID]Report{"a": {Sessions: 50}, "b": {Sessions: 2}}, want: "b",
+		},
+		"faster": {
+			reports: map[runner.ID]Report{"a": {BatchCost: 9 * time.Millisecond}, "b": {}}, want: "b",
+		},
+		"nearer by its link": {
+			reports: map[runner.ID]Report{"a": {RoundTrip: 50 * time.Millisecond}, "b": {RoundTrip: time.Millisecond}}, want: "b",
+		},
+		"own zone although busy": {
+			reports: map[runner.ID]Report{"a": {Sessions: 500}, "far-b": {}}, want: "a",
+		},
+		"other zone when the own can't": {
+			reports: map[runner.ID]Report{"a": {Range: runner.LayerRange{End: 2}}, "far-b": {}}, want: "far-b",
+		},
+		"not leaving": {
+			reports: map[runner.ID]Report{"a": {Leaving: true}, "b": {Sessions: 50}}, want: "b",
+		},
+		"not loading": {
+			reports: map[runner.ID]Report{"a": {Loading: true}, "b": {Sessions: 50}}, want: "b",
+		},
+		"not ejected": {
+			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 50}},
+			change:  func(f *Fleet) { f.Failed(now, "a") }, want: "b",
+		},
+		"ejected when it is the last": {
+			reports: map[runner.ID]Report{"a": {}}, change: func(f *Fleet) { f.Failed(now, "a") }, want: "a",
+		},
+		"own answers count before the next report": {
+			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 1}},
+			change: func(f *Fleet) {
+				for range 9 {
+					f.Assign(Path{{Runner: "a"}})
+				}
+			}, want: "b",
+		},
+		"seen to be slow": {
+			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 5}},
+			change:  func(f *Fleet) { f.Observed(now, "a", 200*time.Millisecond) }, want: "b",
+		},
+		"prefix cached": {
+			reports: map[runner.ID]Report{"a": {PositionCost: time.Millisecond}, "b": {PositionCost: time.Millisecond, Sessions: 3}},
+			change:  func(f *Fleet) { f.Prefilled(now, "b", []uint64{1, 2}) },
+			query:   Query{Positions: 40, Prefixes: []uint64{1, 2}}, want: "b",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleetOf(test.reports, now)
+			if test.change != nil {
+				test.change(f)
+			}
+			query := test.query
+			query.Model, query.Version, query.Layers = "m", "v1", 4
+			path, err := f.Choose(now, query)
+			assert.NilError(t, err)
+			assert.Equal(t, path[0].Runner, test.want)
+		})
+	}
+}
+
+// TestNoPath checks that a gap in the layers is an error with its fields.
+func TestNoPath(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fleetOf(map[runner.ID]Report{"a": {Range: runner.LayerRange{End: 2}}, "b": {Range: runner.LayerRange{First: 3, End: 4}}}, now)
+	_, err := f.Choose(now, Query{Model: "m", Version: "v1", Layers: 4})
+	var none *NoPathError
+	assert.Assert(t, errors.As(err, &none))
+	assert.Equal(t, none.Version, environment.ModelVersion("v1"))
+}
+
+// TestOldReportCountsLess ages a report of a busy runner.
+func TestOldReportCountsLess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fleetOf(map[runner.ID]Report{"a": {Sessions: 30}, "b": {Sessions: 10}}, now)
+	later := now.Add(20 * loadHalfLife)
+	f.Reported(later, "b", f.runners["b"].Report)
+	path, err := f.Choose(later, Query{Model: "m", Version: "v1", Layers: 4})
+	assert.NilError(t, err)
+	assert.Equal(t, path[0].Runner, runner.ID("a"))
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -21,8 +21,9 @@
 const (
 	sessionEvents     = 64
 	crashCheckTimeout = 250 * time.Millisecond
+	crashCheckRetry   = 10 * time.Millisecond
 	// A suspect waits up to isolationPatience for runners without others.
-	isolationPatience = 400 * time.Millisecond
+	isolationPatience = 600 * time.Millisecond
 	isolationRetry    = 20 * time.Millisecond
 )
 
@@ -109,11 +110,11 @@
 }
 
 // Crashed takes another instance's notice that a request was running on a
-// runner that crashed.
-func (p *Pool) Crashed(now time.Time, request Fingerprint, incarnation string) {
+// runner that crashed, and reports whether that was news.
+func (p *Pool) Crashed(now time.Time, request Fingerprint, incarnation string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.suspects.Crashed(now, request, incarnation, true)
+	return p.suspects.Crashed(now, request, incarnation, true)
 }
 
 // Counts returns what the pool has seen so far.
@@ -165,6 +166,11 @@
 // Generate makes an answer and calls emit for each token, in order. It returns
 // nil only for a whole answer; the error is a *FailedError or ctx's.
 func (p *Pool) Generate(ctx context.Context, request Request, emit func(hashmodel.Token) error) error {
+	p.mu.Lock()
+	request.Version = p.fleet.Servable(time.Now(), environment.Model{
+		Name: request.Model, Version: request.Version, Layers: request.Layers,
+	})
+	p.mu.Unlock()
 	session := NewSession(SessionConfig{
 		ID: uuid.New(), Model: request.Model, Version: request.Version, Layers: request.Layers,
 		Priority: request.Priority, Prompt: request.Prompt, MaxTokens: request.MaxTokens,
@@ -218,6 +224,25 @@
 	return opened.(*runner.Stream), nil
 }
 
+// hasCrashed reports whether a runner is another process than before, or none.
+// A process that is just ending may still take a connection and drop it, so
+// anything but a clear answer is asked again for a while.
+func (p *Pool) hasCrashed(ctx context.Context, id runner.ID, address, before string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		report, err := p.status.Fetch(ctx, id, address)
+		if err == nil {
+			return report.Incarnation != before
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		time.Sleep(crashCheckRetry)
+	}
+	return false
+}
+
 // driver runs one session in the goroutine of its caller.
 type driver struct {
 	pool    *Pool
@@ -227,8 +252,11 @@
 	// prefixes holds the hashes of the prompt's blocks.
 	prefixes []uint64
 	emitted  int
-	result   error
-	done     bool
+	// suspect is set while the request runs as a suspect and has not made a
+	// token since.
+	suspect bool
+	result  error
+	done    bool
 }
 
 func (d *driver) run(ctx context.Context) error {
@@ -291,6 +319,12 @@
 			return Cancelled{}
 		}
 		d.emitted++
+		if d.suspect {
+			d.suspect = false
+			d.pool.mu.Lock()
+			d.pool.suspects.Passed(d.request.Fingerprint)
+			d.pool.mu.Unlock()
+		}
 	case BlameRunner:
 		d.pool.Update(func(f *Fleet) { f.Failed(time.Now(), a.Runner) })
 	case DropReply:
@@ -344,7 +378,7 @@
 	if suspect && isolate {
 		query.Avoid = maps.Clone(a.Avoid)
 		for _, r := range p.fleet.Runners() {
-			query.Avoid[r.ID] = query.Avoid[r.ID] || !p.suspects.Alone(request, r.ID)
+			query.Avoid[r.ID] = query.Avoid[r.ID] || !p.suspects.Free(request, r.ID)
 		}
 	}
 	path, err := p.fleet.Choose(now, query)
@@ -355,6 +389,7 @@
 	d.running.path = path
 	p.fleet.Assign(path)
 	if suspect {
+		d.suspect = true
 		p.suspects.Occupy(request, path)
 	}
 	for _, hop := range path {
@@ -395,13 +430,7 @@
 	}
 	address, before := r.Address, r.Report.Incarnation
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	report, err := p.status.Fetch(ctx, id, address)
-	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
-		return
-	}
-	if err == nil && report.Incarnation == before {
+	if !p.hasCrashed(ctx, id, address, before) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/engine/suspects.go
+++ b/internal/engine/suspects.go
@@ -26,6 +26,15 @@
 	// runners holds the incarnations of the runners that crashed.
 	runners map[string]bool
 	last    time.Time
+	// strict keeps the suspect apart to its end, because a crash that it
+	// shared with other suspects could not be blamed on one of them.
+	strict bool
+}
+
+// presence says how a suspect runs on a runner.
+type presence struct {
+	// exclusive keeps other suspects away.
+	exclusive bool
 }
 
 // Suspects remembers which requests were running on runners that crashed. A
@@ -37,13 +46,13 @@
 	requests map[Fingerprint]*suspect
 	crashes  map[string]time.Time
 	// busy names the suspects that run on a runner.
-	busy map[runner.ID]map[Fingerprint]bool
+	busy map[runner.ID]map[Fingerprint]presence
 }
 
 // NewSuspects returns an empty memory.
 func NewSuspects() *Suspects {
 	return &Suspects{
-		requests: map[Fingerprint]*suspect{}, crashes: map[string]time.Time{}, busy: map[runner.ID]map[Fingerprint]bool{},
+		requests: map[Fingerprint]*suspect{}, crashes: map[string]time.Time{}, busy: map[runner.ID]map[Fingerprint]presence{},
 	}
 }
 
@@ -56,7 +65,11 @@
 		s.crashes[incarnation] = now
 	}
 	known, ok := s.requests[request]
-	if ok && (known.runners[incarnation] || !alone || s.massCrash(now, known)) {
+	if ok && (known.runners[incarnation] || s.massCrash(now, known)) {
+		return false
+	}
+	if ok && !alone {
+		known.strict = true
 		return false
 	}
 	if !ok {
@@ -102,24 +115,54 @@
 	return ok && len(known.runners) >= quarantineCrashes && now.Sub(known.last) < suspectMemory
 }
 
-// Alone reports whether no other suspect runs on a runner.
+// Alone reports whether a crash of a runner can be blamed on one suspect: it
+// has not passed yet and every other one has, or no other one is there.
 func (s *Suspects) Alone(request Fingerprint, id runner.ID) bool {
-	for other := range s.busy[id] {
-		if other != request {
+	exclusive := s.busy[id][request].exclusive
+	for other, p := range s.busy[id] {
+		if other != request && (p.exclusive || !exclusive) {
+			return false
+		}
+	}
+	return true
+}
+
+// Free reports whether a suspect may start on a runner: no other one has it
+// for itself, and a strict one finds no other at all.
+func (s *Suspects) Free(request Fingerprint, id runner.ID) bool {
+	if known, ok := s.requests[request]; ok && known.strict {
+		_, present := s.busy[id][request]
+		return len(s.busy[id]) == 0 || (present && len(s.busy[id]) == 1)
+	}
+	for other, p := range s.busy[id] {
+		if other != request && p.exclusive {
 			return false
 		}
 	}
 	return true
 }
 
+// Passed notes that a suspect made a token after its crash. What crashes
+// runners does so at once as a rule, so others need not wait any longer.
+func (s *Suspects) Passed(request Fingerprint) {
+	if known, ok := s.requests[request]; !ok || known.strict {
+		return
+	}
+	for _, suspects := range s.busy {
+		if _, ok := suspects[request]; ok {
+			suspects[request] = presence{}
+		}
+	}
+}
+
 // Occupy notes that a suspect runs on the runners of a path.
 func (s *Suspects) Occupy(request Fingerprint, path Path) {
 	s.Vacate(request)
 	for _, hop := range path {
 		if s.busy[hop.Runner] == nil {
-			s.busy[hop.Runner] = map[Fingerprint]bool{}
+			s.busy[hop.Runner] = map[Fingerprint]presence{}
 		}
-		s.busy[hop.Runner][request] = true
+		s.busy[hop.Runner][request] = presence{exclusive: true}
 	}
 }
 
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -326,8 +326,9 @@
 	return errors.Join(failures...)
 }
 
-// Document returns the document of the deployment's environment.
-func Document() []byte {
+// Document returns the document of the deployment's environment, with a version
+// of its model.
+func Document(version string) []byte {
 	return fmt.Appendf(nil, `environment = %q
 
 [[model]]
@@ -363,5 +364,5 @@
 concurrent = 2000
 models = [%q]
 services = [%q]
-`, Environment, Model, ModelVersion, Layers, ServiceName, environment.HashKey(APIKey), Model, ServiceName)
+`, Environment, Model, version, Layers, ServiceName, environment.HashKey(APIKey), Model, ServiceName)
 }
--- a/internal/localcluster/script_test.go
+++ b/internal/localcluster/script_test.go
@@ -48,6 +48,7 @@
 	reports map[string]*load.Report
 	keys    map[string]string
 	told    map[string]string
+	version string
 }
 
 func runScript(t *testing.T, binaries, file string) {
@@ -57,7 +58,7 @@
 	assert.NilError(t, err)
 	s := &script{
 		t: t, ctx: ctx, cluster: cluster, loads: map[string]chan *load.Report{},
-		reports: map[string]*load.Report{}, keys: map[string]string{}, told: map[string]string{},
+		version: ModelVersion, reports: map[string]*load.Report{}, keys: map[string]string{}, told: map[string]string{},
 	}
 	defer func() {
 		if t.Failed() {
@@ -138,6 +139,10 @@
 		assert.NilError(s.t, s.cluster.Unlist(s.ctx, arguments[0]))
 	case "replace":
 		s.replace(arguments[0])
+	case "version":
+		s.version = arguments[0]
+	case "loaded":
+		s.loaded()
 	case "engines":
 		for _, id := range arguments {
 			assert.NilError(s.t, s.cluster.StartEngine(s.ctx, Engine{ID: id, Zone: "zone-a", First: 0, End: 6, BatchCost: time.Millisecond}))
@@ -182,7 +187,7 @@
 }
 
 func (s *script) publish(id, want string) {
-	_, err := s.entry(id).Admin().Publish(s.ctx, operator.Publication{Environment: Environment, ID: uuid.New(), Body: Document()})
+	_, err := s.entry(id).Admin().Publish(s.ctx, operator.Publication{Environment: Environment, ID: uuid.New(), Body: Document(s.version)})
 	s.verdict(err, want)
 }
 
@@ -211,7 +216,7 @@
 	}
 	results := make(chan result, len(ids))
 	for i, id := range ids {
-		body := append(Document(), fmt.Appendf(nil, "\n# operator %d %s\n", i, uuid.NewString())...)
+		body := append(Document(s.version), fmt.Appendf(nil, "\n# operator %d %s\n", i, uuid.NewString())...)
 		go func() {
 			p, err := s.entry(id).Admin().Publish(s.ctx, operator.Publication{Environment: Environment, ID: uuid.New(), Body: body})
 			results <- result{p, err}
@@ -256,7 +261,7 @@
 
 func (s *script) options(callers ...string) load.Options {
 	return load.Options{
-		Callers: callers, APIKey: APIKey, Model: Model, ModelVersion: ModelVersion, Layers: Layers,
+		Callers: callers, APIKey: APIKey, Model: Model, ModelVersion: s.version, Layers: Layers,
 		PromptTokens: 32, MaxTokens: 24, Service: ServiceName, CallPath: "/bookings", Resend: 40, Seed: 1,
 	}
 }
@@ -402,6 +407,22 @@
 	_ = e
 }
 
+// loaded waits until every engine runs the version that documents name.
+func (s *script) loaded() {
+	for _, id := range []string{"entry-a1", "entry-b1"} {
+		e := s.entry(id)
+		assert.NilError(s.t, Wait(s.ctx, "engines load "+s.version, func() bool {
+			status, err := e.Admin().Status(s.ctx)
+			for _, r := range status.Runners {
+				if r.Version != s.version {
+					return false
+				}
+			}
+			return err == nil
+		}))
+	}
+}
+
 // poison sends the request that crashes engines and checks its final answer.
 func (s *script) poison(id, want string) {
 	code := load.Refusal(s.ctx, s.options(s.entry(id).Callers), "this is poison indeed")
--- a/internal/logservice/document/keeper.go
+++ b/internal/logservice/document/keeper.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	publishTimeout    = 8 * time.Second
-	publishTick       = 50 * time.Millisecond
-	checkpointCheck   = 5 * time.Second
-	verdictQueue      = 16
+	publishTimeout  = 8 * time.Second
+	publishTick     = 50 * time.Millisecond
+	checkpointCheck = 5 * time.Second
+	verdictQueue    = 16
+	// adoptDelay is how recently the log must have been read for a publication
+	// to wait for its verdict there.
+	adoptDelay        = 3 * time.Second
 	checkpointStagger = 10 * time.Second
 )
 
@@ -194,6 +197,11 @@
 func (k *Keeper) Adopt(c Checkpoint) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if len(k.waiting) > 0 && time.Since(k.readAt) < adoptDelay {
+		// A snapshot carries no verdicts; this instance reads them off the log
+		// in a moment.
+		return nil
+	}
 	before := map[Key]Version{}
 	for _, e := range k.fold.Entries() {
 		before[Key{e.Environment, e.Stage}] = e.Version
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -49,6 +49,13 @@
 	Sessions       int    `cbor:"16,keyasint,omitempty"`
 }
 
+type wireDelta struct {
+	_        struct{} `cbor:",toarray"`
+	Runner   string
+	Queued   int
+	Sessions int
+}
+
 type wireCrash struct {
 	Request uint64 `cbor:"1,keyasint"`
 	Runner  string `cbor:"2,keyasint"`
@@ -88,6 +95,7 @@
 	Crash           *wireCrash         `cbor:"9,keyasint,omitempty"`
 	Call            *wireCall          `cbor:"10,keyasint,omitempty"`
 	Answer          *wireAnswer        `cbor:"11,keyasint,omitempty"`
+	Deltas          []wireDelta        `cbor:"12,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR form of a message.
@@ -128,6 +136,10 @@
 		for i := range m.Loads {
 			wire.Loads = append(wire.Loads, loadToWire(&m.Loads[i]))
 		}
+	case LoadDeltas:
+		for _, d := range m.Deltas {
+			wire.Deltas = append(wire.Deltas, wireDelta{Runner: string(d.Runner), Queued: d.Queued, Sessions: d.Sessions})
+		}
 	case Demand:
 		wire.Demand = map[string]float64{}
 		for tenant, used := range m.Tenants {
@@ -175,6 +187,8 @@
 		return stateFromWire(wire.DocumentsState)
 	case wire.Loads != nil:
 		return loadsFromWire(wire.Loads), nil
+	case wire.Deltas != nil:
+		return deltasFromWire(wire.Deltas), nil
 	case wire.Demand != nil:
 		return demandFromWire(wire.Demand), nil
 	case wire.Crash != nil:
@@ -228,6 +242,14 @@
 	return DocumentsState{Snapshot: snapshot}, nil
 }
 
+func deltasFromWire(wire []wireDelta) LoadDeltas {
+	var m LoadDeltas
+	for _, w := range wire {
+		m.Deltas = append(m.Deltas, LoadDelta{Runner: runner.ID(w.Runner), Queued: w.Queued, Sessions: w.Sessions})
+	}
+	return m
+}
+
 func demandFromWire(wire map[string]float64) Demand {
 	d := Demand{Tenants: map[environment.TenantName]float64{}}
 	for tenant, used := range wire {
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+)
+
+// FuzzDecode feeds a peer's bytes to the decoder. What decodes must encode, and
+// decode to the same kind again.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{
+		Hello{Instance: "a", Incarnation: uuid.Nil, Zone: "z"}, Beat{Leaving: true}, Documents{AsOf: 7},
+		DocumentsWanted{AsOf: 7}, DocumentsState{Snapshot: document.Checkpoint{AsOf: 7}},
+		LoadDeltas{Deltas: []LoadDelta{{Runner: "r", Queued: 1}}}, CrashNotice{Request: 7, Runner: "r"},
+		ForwardCall{ID: 7, Key: "k"}, ForwardAnswer{ID: 7, Status: 200},
+	} {
+		data, err := Encode(m)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil || m == nil {
+			return
+		}
+		again, err := Encode(m)
+		assert.NilError(t, err)
+		_, err = Decode(again)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -45,6 +45,8 @@
 	Self     Hello
 	Receiver Receiver
 	Logger   *zap.Logger
+	// Topology is ZoneMesh where it is nil.
+	Topology Topology
 }
 
 // Stats counts what a mesh has sent and received.
@@ -74,7 +76,7 @@
 func NewMesh(config Config) *Mesh {
 	return &Mesh{
 		config:  config,
-		roster:  NewRoster(config.Self.Instance, config.Self.Zone),
+		roster:  NewRoster(config.Self.Instance, config.Self.Zone, config.Topology),
 		links:   map[instancelist.ID]*link{},
 		dialing: map[instancelist.ID]bool{},
 	}
@@ -183,23 +185,33 @@
 	}
 }
 
-// Forward sends a call to the instance of an incarnation and waits for its
-// answer. It returns false when there is no link or no answer.
-func (m *Mesh) Forward(ctx context.Context, to Incarnation, call ForwardCall) (ForwardAnswer, bool) {
-	m.mu.Lock()
-	var chosen *link
-	for _, l := range m.links {
-		if l.peer.Incarnation == to {
-			chosen = l
+// Forward sends a call to an incarnation of an instance and waits for its
+// answer, over a new link where there is none. It returns false when the
+// instance can't be reached, is another incarnation now, or does not answer.
+func (m *Mesh) Forward(ctx context.Context, to instancelist.ID, incarnation Incarnation, call ForwardCall) (ForwardAnswer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	l := m.linkTo(to)
+	if l == nil {
+		m.mu.Lock()
+		target, ok := m.roster.Get(to)
+		m.mu.Unlock()
+		if !ok {
+			return ForwardAnswer{}, false
 		}
+		m.dial(ctx, target)
+		l = m.linkTo(to)
 	}
-	m.mu.Unlock()
-	if chosen == nil {
+	if l == nil || l.peer.Incarnation != incarnation {
 		return ForwardAnswer{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	return chosen.forward(ctx, call)
+	return l.forward(ctx, call)
+}
+
+func (m *Mesh) linkTo(id instancelist.ID) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links[id]
 }
 
 // Run keeps links to the targets until ctx ends.
@@ -219,9 +231,11 @@
 			if now.Sub(lastMembers) >= membersInterval {
 				lastMembers = now
 				m.mu.Lock()
-				known := m.roster.Known()
+				unlisted := m.roster.Unlisted()
 				m.mu.Unlock()
-				m.Broadcast(Members{Instances: known})
+				if len(unlisted) > 0 {
+					m.Broadcast(Members{Instances: unlisted})
+				}
 			}
 		}
 	}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -73,11 +73,23 @@
 	AgeMillis int64
 }
 
-// Loads carries the reports that changed since the last message.
+// Loads carries whole reports.
 type Loads struct {
 	Loads []RunnerLoad
 }
 
+// LoadDelta is what changes often in a runner's report.
+type LoadDelta struct {
+	Runner   runner.ID
+	Queued   int
+	Sessions int
+}
+
+// LoadDeltas carries the changes of reports that were sent whole before.
+type LoadDeltas struct {
+	Deltas []LoadDelta
+}
+
 // Demand tells how much of its limits each active tenant used at the sender.
 type Demand struct {
 	Tenants map[environment.TenantName]float64
@@ -120,6 +132,7 @@
 func (DocumentsWanted) isMessage() {}
 func (DocumentsState) isMessage()  {}
 func (Loads) isMessage()           {}
+func (LoadDeltas) isMessage()      {}
 func (Demand) isMessage()          {}
 func (CrashNotice) isMessage()     {}
 func (ForwardCall) isMessage()     {}
--- a/internal/peer/roster.go
+++ b/internal/peer/roster.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// linksPerZone is the number of links that an instance keeps to each other
-	// availability zone.
-	linksPerZone = 2
+	// bridges is the number of instances of an availability zone that keep
+	// links to another one, and of links that each of them keeps there.
+	bridges = 2
 	// forgetAfter is when an instance that is neither listed nor heard of is
 	// dropped.
 	forgetAfter = 30 * time.Second
@@ -32,14 +32,16 @@
 // Roster knows the entry instances and decides which to keep links to. It is
 // not safe for concurrent use.
 type Roster struct {
-	self    instancelist.ID
-	zone    instancelist.AvailabilityZone
-	members map[instancelist.ID]*member
+	self instancelist.ID
+	zone instancelist.AvailabilityZone
+	// topology is ZoneMesh where it is nil.
+	topology Topology
+	members  map[instancelist.ID]*member
 }
 
 // NewRoster returns a roster that knows only its own instance.
-func NewRoster(self instancelist.ID, zone instancelist.AvailabilityZone) *Roster {
-	return &Roster{self: self, zone: zone, members: map[instancelist.ID]*member{}}
+func NewRoster(self instancelist.ID, zone instancelist.AvailabilityZone, topology Topology) *Roster {
+	return &Roster{self: self, zone: zone, topology: topology, members: map[instancelist.ID]*member{}}
 }
 
 // Listed takes the entry instances of the platform's list.
@@ -89,6 +91,26 @@
 	}
 }
 
+// Get returns one instance.
+func (r *Roster) Get(id instancelist.ID) (instancelist.Instance, bool) {
+	if m, ok := r.members[id]; ok {
+		return m.instance, true
+	}
+	return instancelist.Instance{}, false
+}
+
+// Unlisted returns the instances that the platform's list does not name: what
+// is worth telling peers again.
+func (r *Roster) Unlisted() []instancelist.Instance {
+	var list []instancelist.Instance
+	for _, i := range r.Known() {
+		if !r.members[i.ID].listed {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Known returns all instances but this one, sorted by id.
 func (r *Roster) Known() []instancelist.Instance {
 	var list []instancelist.Instance
@@ -101,33 +123,30 @@
 	return list
 }
 
-// Targets returns the instances that this one should dial when it has no link
-// to them: every one of its zone, and a few of each other zone.
-func (r *Roster) Targets(now time.Time) []instancelist.Instance {
-	byZone := map[instancelist.AvailabilityZone][]instancelist.Instance{}
-	var targets []instancelist.Instance
+// isBridge reports whether this instance is one of its zone's bridges to
+// another zone, by rendezvous hashing over the instances that it knows.
+func (r *Roster) isBridge(zone instancelist.AvailabilityZone) bool {
+	own := []instancelist.Instance{{ID: r.self}}
 	for _, i := range r.Known() {
-		if i.Zone != r.zone {
-			byZone[i.Zone] = append(byZone[i.Zone], i)
-			continue
-		}
-		if r.self < i.ID || now.Sub(r.members[i.ID].heard) >= dialPatience {
-			targets = append(targets, i)
+		if i.Zone == r.zone && !i.Leaving {
+			own = append(own, i)
 		}
 	}
-	for _, list := range byZone {
-		targets = append(targets, r.nearest(list)...)
+	for _, i := range heaviest(string(zone), own, bridges) {
+		if i.ID == r.self {
+			return true
+		}
 	}
-	sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
-	return targets
+	return false
 }
 
-// nearest picks instances by rendezvous hashing, so that the links of one zone
-// spread over all instances of another.
-func (r *Roster) nearest(list []instancelist.Instance) []instancelist.Instance {
-	weight := func(i instancelist.Instance) uint64 { return Weight(string(r.self), string(i.ID)) }
-	sort.Slice(list, func(a, b int) bool { return weight(list[a]) > weight(list[b]) })
-	return list[:min(len(list), linksPerZone)]
+// heaviest returns the few instances with the greatest weight for an item, so
+// that the links to a zone spread over its instances.
+func heaviest(item string, list []instancelist.Instance, count int) []instancelist.Instance {
+	sort.Slice(list, func(a, b int) bool {
+		return Weight(item, string(list[a].ID)) > Weight(item, string(list[b].ID))
+	})
+	return list[:min(len(list), count)]
 }
 
 // Weight is the rendezvous weight of a candidate for an item.
--- a/pkg/environment/parse_test.go
+++ b/pkg/environment/parse_test.go
@@ -27,3 +27,18 @@
 		})
 	}
 }
+
+// FuzzParse feeds arbitrary text to the parser. It must never panic.
+func FuzzParse(f *testing.F) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	assert.NilError(f, err)
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		assert.NilError(f, err)
+		f.Add(archive.Files[0].Data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, err := Parse("doc.toml", data)
+		assert.Assert(t, (doc == nil) == (err != nil))
+	})
+}
