--- a/cmd/mulberryhead/experiment.go
+++ b/cmd/mulberryhead/experiment.go
@@ -12,6 +12,7 @@
 )
 
 type experimentCommand struct {
+	Capacity capacityCommand `command:"capacity" description:"state and processor time of each mechanism at growing sizes"`
 	Batching batchingCommand `command:"batching" description:"calls that run at most once, with one claim for each append and with many"`
 	Spread   spreadCommand   `command:"spread" description:"bytes, processor time and spread of documents in meshes of entry instances"`
 	Fleet    fleetCommand    `command:"fleet" description:"throughput of a mixed fleet against its bound and baselines"`
@@ -92,3 +93,10 @@
 	}
 	return nil
 }
+
+type capacityCommand struct{}
+
+// Execute measures the slopes that docs/CAPACITY.md rests on.
+func (capacityCommand) Execute([]string) error {
+	return experiment.Capacity(context.Background()).WriteText(os.Stdout)
+}
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -253,6 +253,16 @@
 	return path, nil
 }
 
+// Local reports whether a path stays in the own availability zone.
+func (f *Fleet) Local(path Path) bool {
+	for _, hop := range path {
+		if r, ok := f.runners[hop.Runner]; !ok || r.Zone != f.zone {
+			return false
+		}
+	}
+	return true
+}
+
 // Servable returns the version to serve of a model: the wanted one where
 // runners cover its layers, else another one that they cover. While runners
 // load a new version, the old one goes on being served.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -385,6 +385,13 @@
 	if err != nil {
 		return NoPath{}, suspect && isolate
 	}
+	if suspect && isolate && !p.fleet.Local(path) {
+		// Another zone must not pay for the isolation.
+		query.Avoid = a.Avoid
+		if shared, err := p.fleet.Choose(now, query); err == nil && p.fleet.Local(shared) {
+			return NoPath{}, true
+		}
+	}
 	p.counts.Paths++
 	d.running.path = path
 	p.fleet.Assign(path)
--- a/internal/experiment/spread.go
+++ b/internal/experiment/spread.go
@@ -146,7 +146,7 @@
 	}
 	waitForLinks(members)
 	report := &SpreadReport{Options: o}
-	report.HeapPerMember = float64(heap()-before) / float64(o.Instances)
+	report.HeapPerMember = (float64(heap()) - float64(before)) / float64(o.Instances)
 	report.quiet(ctx, members)
 	report.spread(members)
 	return report, nil
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -77,7 +77,8 @@
 	}
 }
 
-func list(members ...*testMember) []instancelist.Instance {
+// list puts the members on the platform's list, as each of them reads it.
+func list(members ...*testMember) {
 	var all []instancelist.Instance
 	for _, m := range members {
 		all = append(all, m.listed())
@@ -85,7 +86,6 @@
 	for _, m := range members {
 		m.mesh.SetInstances(time.Now(), all)
 	}
-	return all
 }
 
 func eventually(t *testing.T, what string, holds func() bool) {
