Control traffic that fits larger zones; orders that follow reports

Also: callers and peers share the forwarded call's types, archives of test data have one reader, durations one parser.

--- a/cmd/mulberryhead-demo/main.go
+++ b/cmd/mulberryhead-demo/main.go
@@ -34,7 +34,8 @@
 )
 
 type options struct {
-	Binaries string `long:"binaries" required:"true" description:"directory of the programs"`
+	Binaries  string `long:"binaries" required:"true" description:"directory of the programs"`
+	Documents int    `long:"documents" description:"also measure how fast so many documents come into force"`
 }
 
 func main() {
@@ -77,6 +78,11 @@
 	if err := book(ctx, cluster); err != nil {
 		return err
 	}
+	if o.Documents > 0 {
+		if err := measureSpread(ctx, cluster, o.Documents); err != nil {
+			return err
+		}
+	}
 	fmt.Println("stopping")
 	return nil
 }
--- /dev/null
+++ b/cmd/mulberryhead-demo/spread.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberryhead.org/mulberryhead/internal/localcluster"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/operator"
+)
+
+const (
+	spreadPoll    = 2 * time.Millisecond
+	spreadTimeout = 10 * time.Second
+)
+
+// measureSpread publishes documents and takes the time until each is in force
+// on every entry instance: with all well, with one zone cut from the platform,
+// and while the log loses answers.
+func measureSpread(ctx context.Context, c *localcluster.Cluster, documents int) error {
+	for _, condition := range []struct {
+		name   string
+		faults map[string]any
+	}{
+		{"all well", map[string]any{}},
+		{"one zone cut from the platform", map[string]any{"cut": []string{"entry-b1"}}},
+		{"every append loses its answer", map[string]any{"cut": []string{}, "lose-answers": documents}},
+	} {
+		if err := c.Faults(ctx, c.Platform, condition.faults); err != nil {
+			return err
+		}
+		var times []time.Duration
+		for range documents {
+			took, err := spreadOne(ctx, c)
+			if err != nil {
+				return fmt.Errorf("%s: %w", condition.name, err)
+			}
+			times = append(times, took)
+		}
+		slices.Sort(times)
+		fmt.Printf("in force everywhere, %s: %d documents, median %s, worst %s\n",
+			condition.name, documents, times[len(times)/2], times[len(times)-1])
+	}
+	return c.Faults(ctx, c.Platform, map[string]any{"lose-answers": 0})
+}
+
+// spreadOne publishes a document and returns the time from the operator's
+// request until the last instance applies it.
+func spreadOne(ctx context.Context, c *localcluster.Cluster) (time.Duration, error) {
+	body := append(localcluster.Document(localcluster.ModelVersion), fmt.Appendf(nil, "\n# %s\n", uuid.NewString())...)
+	began := time.Now()
+	published, err := c.Entries[0].Admin().Publish(ctx, operator.Publication{
+		Environment: localcluster.Environment, ID: uuid.New(), Body: body,
+	})
+	if err != nil {
+		return 0, err
+	}
+	for _, e := range c.Entries {
+		for !applies(ctx, e, published.Version) {
+			if time.Since(began) > spreadTimeout {
+				return 0, fmt.Errorf("version %d is not in force on %s", published.Version, e.Name)
+			}
+			time.Sleep(spreadPoll)
+		}
+	}
+	return time.Since(began), nil
+}
+
+func applies(ctx context.Context, e *localcluster.Entry, version document.Version) bool {
+	status, err := e.Admin().Status(ctx)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(status.Documents, func(d operator.DocumentState) bool {
+		return d.Version >= version && d.Applied
+	})
+}
--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"sort"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -92,14 +93,21 @@
 	}
 }
 
-// Demand returns the requests of each tenant since the last call, for at most
-// limit tenants.
+// Demand returns the requests since the last call of the tenants that asked
+// most, at most limit of them.
 func (a *Admission) Demand(limit int) map[environment.TenantName]float64 {
-	demand := map[environment.TenantName]float64{}
+	var names []environment.TenantName
 	for name, state := range a.tenants {
-		if state.asked > 0 && len(demand) < limit {
-			demand[name] = float64(state.asked)
+		if state.asked > 0 {
+			names = append(names, name)
 		}
+	}
+	sort.Slice(names, func(i, j int) bool { return a.tenants[names[i]].asked > a.tenants[names[j]].asked })
+	demand := map[environment.TenantName]float64{}
+	for _, name := range names[:min(len(names), limit)] {
+		demand[name] = float64(a.tenants[name].asked)
+	}
+	for _, state := range a.tenants {
 		state.asked = 0
 	}
 	return demand
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -9,23 +9,23 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"golang.org/x/tools/txtar"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/internal/service"
 	"mulberryhead.org/mulberryhead/internal/standin"
+	"mulberryhead.org/mulberryhead/internal/testarchive"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
@@ -54,8 +54,8 @@
 
 type noForwarder struct{}
 
-func (noForwarder) Forward(context.Context, Issuer, ForwardedCall) (ForwardedAnswer, bool) {
-	return ForwardedAnswer{}, false
+func (noForwarder) Forward(context.Context, Issuer, peer.ForwardCall) (peer.ForwardAnswer, bool) {
+	return peer.ForwardAnswer{}, false
 }
 
 const testDocument = `environment = "bench"
@@ -142,28 +142,21 @@
 // each. {key} stands for the tenant's key, {fresh} for a new UUIDv7 that stays
 // the same inside one archive, {old} and {future} for UUIDv7s of other times.
 func TestRequests(t *testing.T) {
-	files, err := filepath.Glob("testdata/requests/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
-			archive, err := txtar.ParseFile(file)
-			assert.NilError(t, err)
-			d := newDeployment(t)
-			replacer := strings.NewReplacer(
-				"{key}", testKey, "{fresh}", uuid.Must(uuid.NewV7()).String(),
-				"{old}", "01863b2c-0000-7000-8000-000000000000", "{future}", "7fffffff-0000-7000-8000-000000000000",
-				"{long}", strings.Repeat("x", MaxBodyBytes+1),
-			)
-			for i := 0; i+1 < len(archive.Files); i += 2 {
-				answer := d.send(t, replacer.Replace(string(archive.Files[i].Data)))
-				for _, want := range strings.Split(strings.TrimSpace(string(archive.Files[i+1].Data)), "\n") {
-					assert.Assert(t, strings.Contains(answer, want), "%s: no %q in\n%s", archive.Files[i].Name, want, answer)
-				}
+	testarchive.Each(t, "testdata/requests/*.txtar", func(t *testing.T, files [][]byte) {
+		d := newDeployment(t)
+		replacer := strings.NewReplacer(
+			"{key}", testKey, "{fresh}", uuid.Must(uuid.NewV7()).String(),
+			"{old}", "01863b2c-0000-7000-8000-000000000000", "{future}", "7fffffff-0000-7000-8000-000000000000",
+			"{long}", strings.Repeat("x", MaxBodyBytes+1),
+		)
+		for i := 0; i+1 < len(files); i += 2 {
+			answer := d.send(t, replacer.Replace(string(files[i])))
+			for _, want := range strings.Split(strings.TrimSpace(string(files[i+1])), "\n") {
+				assert.Assert(t, strings.Contains(answer, want), "no %q in\n%s", want, answer)
 			}
-			assert.Equal(t, d.engineStatus(t).Queued, 0)
-		})
-	}
+		}
+		assert.Equal(t, d.engineStatus(t).Queued, 0)
+	})
 }
 
 // send sends a request written as a line with method and path, header lines,
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -23,6 +23,7 @@
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/service"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
@@ -54,7 +55,7 @@
 // Forwarder hands a call with a bound key to the instance that issued it.
 type Forwarder interface {
 	// Forward returns false when that instance cannot be reached.
-	Forward(ctx context.Context, to Issuer, call ForwardedCall) (ForwardedAnswer, bool)
+	Forward(ctx context.Context, to Issuer, call peer.ForwardCall) (peer.ForwardAnswer, bool)
 }
 
 // Issuer is the run of an instance that issued a bound key.
@@ -63,28 +64,6 @@
 	Incarnation claim.Incarnation
 }
 
-// ForwardedCall is a call to a plain service on its way to another instance.
-type ForwardedCall struct {
-	Method      string
-	Path        string
-	Query       string
-	Stage       string
-	ContentType string
-	APIKey      string
-	Key         string
-	Body        []byte
-}
-
-// ForwardedAnswer is the answer to a forwarded call.
-type ForwardedAnswer struct {
-	Status      int
-	ContentType string
-	Outcome     string
-	Attempt     string
-	RetryAfter  string
-	Body        []byte
-}
-
 // Config is what a server works with.
 type Config struct {
 	Instance    instancelist.ID
@@ -179,8 +158,8 @@
 	s.admission.SetShares(share)
 }
 
-// Demand returns the requests of each tenant since the last call, for at most
-// limit tenants.
+// Demand returns the requests since the last call of the tenants that asked
+// most, at most limit of them.
 func (s *Server) Demand(limit int) map[environment.TenantName]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -12,6 +12,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/service"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
@@ -240,7 +241,7 @@
 
 // forward hands a call on to the instance that issued its key.
 func (s *Server) forward(c *call, request service.Request, key serviceKey) *ProblemError {
-	answer, ok := s.config.Forwarder.Forward(c.r.Context(), key.issuer, ForwardedCall{
+	answer, ok := s.config.Forwarder.Forward(c.r.Context(), key.issuer, peer.ForwardCall{
 		Method: request.Method, Path: c.r.URL.EscapedPath(), Query: request.Query, Stage: c.r.Header.Get(stageHeader),
 		ContentType: request.ContentType, APIKey: c.apiKey, Key: key.text, Body: request.Body,
 	})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,15 +78,8 @@
 }
 
 // Forward implements caller.Forwarder.
-func (d *Daemon) Forward(ctx context.Context, to caller.Issuer, call caller.ForwardedCall) (caller.ForwardedAnswer, bool) {
-	answer, ok := d.mesh.Forward(ctx, to.Instance, to.Incarnation, peer.ForwardCall{
-		Method: call.Method, Path: call.Path, Query: call.Query, Stage: call.Stage,
-		ContentType: call.ContentType, APIKey: call.APIKey, Key: call.Key, Body: call.Body,
-	})
-	return caller.ForwardedAnswer{
-		Status: answer.Status, ContentType: answer.ContentType, Outcome: answer.Outcome,
-		Attempt: answer.Attempt, RetryAfter: answer.RetryAfter, Body: answer.Body,
-	}, ok
+func (d *Daemon) Forward(ctx context.Context, to caller.Issuer, call peer.ForwardCall) (peer.ForwardAnswer, bool) {
+	return d.mesh.Forward(ctx, to.Instance, to.Incarnation, call)
 }
 
 // Call implements peer.Receiver: it serves a forwarded call like one that came
@@ -109,12 +101,12 @@
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
-	recorder := httptest.NewRecorder()
-	d.callers.Handler().ServeHTTP(recorder, request)
+	answer := newRecorder()
+	d.callers.Handler().ServeHTTP(answer, request)
 	return peer.ForwardAnswer{
-		Status: recorder.Code, ContentType: recorder.Header().Get("Content-Type"),
-		Outcome: recorder.Header().Get("Mulberryhead-Outcome"), Attempt: recorder.Header().Get("Mulberryhead-Attempt"),
-		RetryAfter: recorder.Header().Get("Retry-After"), Body: recorder.Body.Bytes(),
+		Status: answer.status, ContentType: answer.header.Get("Content-Type"),
+		Outcome: answer.header.Get("Mulberryhead-Outcome"), Attempt: answer.header.Get("Mulberryhead-Attempt"),
+		RetryAfter: answer.header.Get("Retry-After"), Body: answer.body.Bytes(),
 	}
 }
 
--- a/internal/daemon/runners.go
+++ b/internal/daemon/runners.go
@@ -18,10 +18,10 @@
 const (
 	instancesInterval = 1 * time.Second
 	// statusInterval is how often the instance that polls a runner does so.
-	statusInterval = 250 * time.Millisecond
+	statusInterval = 1 * time.Second
 	// reportPatience is the age of a shared report at which an instance polls
 	// the runner itself.
-	reportPatience = 3 * time.Second
+	reportPatience = 5 * time.Second
 	ordersInterval = 500 * time.Millisecond
 	concurrentPoll = 32
 )
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -171,15 +171,7 @@
 }
 
 func (c *checker) duration(key, value string, fallback time.Duration) time.Duration {
-	if value == "" {
-		return fallback
-	}
-	d, err := time.ParseDuration(value)
-	if err != nil || d <= 0 {
-		c.fault(key, fmt.Sprintf("%q is not a positive duration", value), `write a number with its unit, as in "60s"`)
-		return fallback
-	}
-	return d
+	return c.problems.Duration(c.index, key, value, fallback)
 }
 
 func (c *checker) hash(key, value string) environment.KeyHash {
--- a/internal/daemon/share.go
+++ b/internal/daemon/share.go
@@ -14,14 +14,19 @@
 
 const (
 	// shareInterval is how often an instance tells its zone about the runners
-	// that it polls, and about its tenants' demand.
-	shareInterval = 1 * time.Second
+	// that it polls, and demandInterval about its tenants' demand. Both grow
+	// with the zone, by one for each zoneStep instances, because what is told
+	// goes to each of them.
+	shareInterval  = 1 * time.Second
+	demandInterval = 3 * time.Second
+	zoneStep       = 20
 	// wholeEvery is how often a report is sent again whole.
 	wholeEvery = 30 * time.Second
-	// demandMemory is how long a peer's demand counts.
-	demandMemory = 5 * time.Second
-	// maxDemands bounds the tenants in one message.
-	maxDemands = 64
+	// demandMemory is how many intervals a peer's demand counts.
+	demandMemory = 3
+	// maxDemands bounds the tenants in one message, the largest first. The
+	// others' limits are split evenly.
+	maxDemands = 8
 	demandPart = 0.5
 )
 
@@ -102,13 +107,13 @@
 
 // shareLoads tells the zone about the runners that this instance polls.
 func (d *Daemon) shareLoads(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
 	for {
+		inZone, _ := d.entryCounts()
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-time.After(grow(shareInterval, inZone)):
+			now := time.Now()
 			loads, deltas := d.sharer.next(now)
 			if len(loads.Loads) > 0 {
 				d.mesh.BroadcastZone(loads)
@@ -139,8 +144,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers[from] = peerDemand{tenants: m.Tenants, at: now}
+}
+
+// forget drops what peers said too long ago.
+func (d *demands) forget(now time.Time, memory time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for id, p := range d.peers {
-		if now.Sub(p.at) > demandMemory {
+		if now.Sub(p.at) > memory {
 			delete(d.peers, id)
 		}
 	}
@@ -149,14 +160,12 @@
 // share returns the part of a tenant's limit that this instance may use: half
 // of its zone's part evenly, half by demand. The parts of all instances add up
 // to the whole, and a zone that is cut off keeps to its own.
-func (d *demands) share(now time.Time, tenant environment.TenantName, own float64, inZone, inAll int) float64 {
+func (d *demands) share(tenant environment.TenantName, own float64, inZone, inAll int) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	total := own
 	for _, p := range d.peers {
-		if now.Sub(p.at) <= demandMemory {
-			total += p.tenants[tenant]
-		}
+		total += p.tenants[tenant]
 	}
 	byDemand := 1 / float64(inZone)
 	if total > 0 {
@@ -169,25 +178,30 @@
 // shareDemand tells the zone what each tenant asks for here, and sets the
 // tenants' parts.
 func (d *Daemon) shareDemand(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
-	defer ticker.Stop()
 	for {
+		inZone, inAll := d.entryCounts()
+		interval := grow(demandInterval, inZone)
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-time.After(interval):
 			own := d.callers.Demand(maxDemands)
 			if len(own) > 0 {
 				d.mesh.BroadcastZone(peer.Demand{Tenants: own})
 			}
-			inZone, inAll := d.entryCounts()
+			d.demands.forget(time.Now(), demandMemory*interval)
 			d.callers.SetShares(func(tenant environment.TenantName) float64 {
-				return d.demands.share(now, tenant, own[tenant], inZone, inAll)
+				return d.demands.share(tenant, own[tenant], inZone, inAll)
 			})
 		}
 	}
 }
 
+// grow returns an interval in a zone of so many instances.
+func grow(interval time.Duration, inZone int) time.Duration {
+	return interval * time.Duration(1+inZone/zoneStep)
+}
+
 // entryCounts returns the number of entry instances of this zone and of all,
 // by the platform's list.
 func (d *Daemon) entryCounts() (inZone, inAll int) {
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -58,9 +58,12 @@
 	for _, r := range fleet.Runners() {
 		switch {
 		case r.Zone != o.zone || r.Report.Model != m.Name:
+		case r.Report.Version == m.Version && !r.Report.Loading:
+			// The order is carried out; the next runner need not wait.
+			delete(o.given, r.ID)
 		case r.Report.Loading || now.Sub(o.given[r.ID]) < orderRetry:
 			changing[r.ID] = true
-		case r.Report.Version != m.Version:
+		default:
 			stale = append(stale, r)
 		}
 	}
--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -62,11 +62,15 @@
 
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
-// Client reads the list.
+// Client reads the list. It is used from one goroutine.
 type Client struct {
 	url       string
 	userAgent string
 	http      *http.Client
+	// tag and last are of the newest list: one that has not changed is not
+	// sent again.
+	tag  string
+	last []Instance
 }
 
 // NewClient returns a client of the platform at address, HOST:PORT. The
@@ -96,11 +100,17 @@
 		return nil, &UnavailableError{Cause: err}
 	}
 	request.Header.Set("User-Agent", c.userAgent)
+	if c.tag != "" {
+		request.Header.Set("If-None-Match", c.tag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, &UnavailableError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotModified {
+		return c.last, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, &UnavailableError{Cause: fmt.Errorf("status %d", response.StatusCode)}
 	}
@@ -115,6 +125,7 @@
 			Address: w.Address, Serves: w.Serves, Leaving: w.Leaving,
 		})
 	}
+	c.tag, c.last = response.Header.Get("ETag"), list
 	return list, nil
 }
 
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -26,7 +26,8 @@
 	APIKey        = "demo-tenant-key"
 	OperatorToken = "demo-operator-token"
 
-	readyPoll = 20 * time.Millisecond
+	readyPoll   = 20 * time.Millisecond
+	waitTimeout = 60 * time.Second
 )
 
 // Engine describes one model engine to start.
@@ -303,7 +304,7 @@
 
 // Wait polls until a condition holds, at most for a generous time.
 func Wait(ctx context.Context, what string, holds func() bool) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	for !holds() {
 		select {
--- a/internal/logservice/document/keeper.go
+++ b/internal/logservice/document/keeper.go
@@ -76,9 +76,11 @@
 type Keeper struct {
 	config Config
 
-	mu       sync.Mutex
-	fold     *Fold
-	loaded   bool
+	mu     sync.Mutex
+	fold   *Fold
+	loaded bool
+	// down is set while reads fail.
+	down     bool
 	readAt   time.Time
 	waiting  map[chan Verdict]struct{}
 	rank     int
@@ -110,6 +112,10 @@
 		k.tell(verdicts)
 	}
 	k.readAt = now
+	if k.down {
+		k.down = false
+		k.config.Logger.Info("documents' stream can be read again")
+	}
 	if k.fold.Whole() && k.fold.Next() >= page.Next {
 		k.loaded = true
 	}
@@ -128,7 +134,12 @@
 
 // Failed implements logservice.Follower.
 func (k *Keeper) Failed(_ time.Time, err error) {
-	k.config.Logger.Debug("documents' stream unavailable", zap.Error(err))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.down {
+		k.down = true
+		k.config.Logger.Warn("documents' stream can't be read; what is in force stays", zap.Error(err))
+	}
 }
 
 // tell hands verdicts to those who wait, and what came into force to the
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -69,13 +69,21 @@
 	for _, leaving := range []bool{false, true} {
 		beats[leaving], _ = Encode(Beat{Leaving: leaving})
 	}
+	// quiet is set while nothing was sent since the last tick: any message is a
+	// sign of life.
+	quiet := true
 	for {
 		var data []byte
 		select {
 		case <-l.done:
 			return
 		case data = <-l.outgoing:
+			quiet = false
 		case <-ticker.C:
+			if !quiet {
+				quiet = true
+				continue
+			}
 			l.mesh.mu.Lock()
 			data = beats[l.mesh.leaving]
 			l.mesh.mu.Unlock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -9,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 )
@@ -287,14 +290,26 @@
 	return http.StatusOK, page, s.changed
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.currentInstances()
 	if lag := milliseconds(p.faults.InstanceLagMillis); lag > 0 {
 		list = p.instancesAt(time.Now().Add(-lag))
 	}
-	writeJSON(w, http.StatusOK, list)
+	data, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 36))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
 }
 
 func (p *Platform) currentInstances() []Instance {
--- a/internal/tomlpos/tomlpos.go
+++ b/internal/tomlpos/tomlpos.go
@@ -15,6 +15,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -86,6 +87,19 @@
 	return &ProblemsError{Problems: p.items}
 }
 
+// Duration parses the duration at key; an empty value stands for fallback.
+func (p *Problems) Duration(index Index, key, value string, fallback time.Duration) time.Duration {
+	if value == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 {
+		p.Add(index, key, fmt.Sprintf("%q is not a positive duration", value), `write a number with its unit, as in "730ms"`)
+		return fallback
+	}
+	return d
+}
+
 // Index maps a dotted key to its line. Elements of an array of tables are
 // numbered from 0: tenant[2].name.
 type Index map[string]int
--- a/pkg/environment/parse.go
+++ b/pkg/environment/parse.go
@@ -126,15 +126,7 @@
 }
 
 func (p *parser) duration(key, value string, fallback time.Duration) time.Duration {
-	if value == "" {
-		return fallback
-	}
-	d, err := time.ParseDuration(value)
-	if err != nil || d <= 0 {
-		p.fault(key, fmt.Sprintf("%q is not a positive duration", value), `write a number with its unit, as in "730ms"`)
-		return fallback
-	}
-	return d
+	return p.problems.Duration(p.index, key, value, fallback)
 }
 
 func (p *parser) model(key string, m tomlModel, seen map[string]bool) Model {
