Fault matrix of answers; outcomes in flight count as pending

Answers had no matrix of their own.

After: 72 rows and 5,184 pairs of faults for answers: all whole but for callers who went away. Pending counts what is being sent.

--- a/cmd/mulberryhead-demo/main.go
+++ b/cmd/mulberryhead-demo/main.go
@@ -35,6 +35,7 @@
 
 type options struct {
 	Binaries  string `long:"binaries" required:"true" description:"directory of the programs"`
+	Overhead  bool   `long:"overhead" description:"also measure what an entry instance adds to each token and costs at rest"`
 	Documents int    `long:"documents" description:"also measure how fast so many documents come into force"`
 }
 
@@ -78,6 +79,14 @@
 	if err := book(ctx, cluster); err != nil {
 		return err
 	}
+	if o.Overhead {
+		if err := measureOverhead(ctx, cluster); err != nil {
+			return err
+		}
+		if err := measureRest(ctx, cluster); err != nil {
+			return err
+		}
+	}
 	if o.Documents > 0 {
 		if err := measureSpread(ctx, cluster, o.Documents); err != nil {
 			return err
--- /dev/null
+++ b/cmd/mulberryhead-demo/overhead.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/hashmodel"
+	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/load"
+	"mulberryhead.org/mulberryhead/internal/localcluster"
+	"mulberryhead.org/mulberryhead/internal/runner"
+)
+
+const (
+	overheadTokens  = 64
+	overheadAnswers = 60
+	// overheadHops is the length of each path in zone-a of the deployment.
+	overheadHops  = 2
+	highestMicros = int64(10 * time.Second / time.Microsecond)
+	histogramSize = 3
+)
+
+// measureOverhead compares answers through an entry instance with answers that
+// this process makes by calling the same engines directly, one after another.
+func measureOverhead(ctx context.Context, c *localcluster.Cluster) error {
+	direct, err := directGaps(ctx, c)
+	if err != nil {
+		return err
+	}
+	entry := c.Entries[0]
+	before, err := entry.ProcessorTime()
+	if err != nil {
+		return err
+	}
+	through := hdrhistogram.New(1, highestMicros, histogramSize)
+	for n := range overheadAnswers {
+		last := time.Time{}
+		err := load.Stream(ctx, load.Options{
+			Callers: []string{entry.Callers}, APIKey: localcluster.APIKey, Model: localcluster.Model,
+			ModelVersion: localcluster.ModelVersion, Layers: localcluster.Layers, MaxTokens: overheadTokens,
+		}, fmt.Sprint("question ", n), func(string) { last = recordGap(through, last) })
+		if err != nil {
+			return fmt.Errorf("answer through %s: %w", entry.Name, err)
+		}
+	}
+	after, err := entry.ProcessorTime()
+	if err != nil {
+		return err
+	}
+	const hops = overheadAnswers * overheadTokens * overheadHops
+	added := through.ValueAtQuantile(50) - direct.ValueAtQuantile(50)
+	fmt.Printf("between tokens, p50: %d us through an entry instance, %d us direct; added %.1f us a hop\n",
+		through.ValueAtQuantile(50), direct.ValueAtQuantile(50), float64(added)/overheadHops)
+	fmt.Printf("between tokens, p95: %d us through an entry instance, %d us direct\n",
+		through.ValueAtQuantile(95), direct.ValueAtQuantile(95))
+	fmt.Printf("processor time of the entry instance: %.1f us a token hop, all its loops included\n",
+		float64((after-before).Microseconds())/hops)
+	return nil
+}
+
+func recordGap(h *hdrhistogram.Histogram, last time.Time) time.Time {
+	now := time.Now()
+	if !last.IsZero() {
+		_ = h.RecordValue(now.Sub(last).Microseconds())
+	}
+	return now
+}
+
+// directGaps makes answers with the engines of zone-a.
+func directGaps(ctx context.Context, c *localcluster.Cluster) (*hdrhistogram.Histogram, error) {
+	pool := engine.NewPool("zone-a")
+	client := engine.NewStatusClient()
+	var list []instancelist.Instance
+	reports := map[runner.ID]engine.Report{}
+	for _, id := range []string{"engine-a1", "engine-a2", "engine-a3"} {
+		address, err := c.Engines[id].Address(ctx, "on")
+		if err != nil {
+			return nil, err
+		}
+		report, err := client.Fetch(ctx, runner.ID(id), address)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, instancelist.Instance{ID: instancelist.ID(id), Zone: "zone-a", Address: address})
+		reports[runner.ID(id)] = report
+	}
+	pool.Update(func(f *engine.Fleet) {
+		f.SetInstances(list)
+		for id, report := range reports {
+			f.Reported(time.Now(), id, report)
+		}
+	})
+	gaps := hdrhistogram.New(1, highestMicros, histogramSize)
+	for n := range overheadAnswers {
+		last := time.Time{}
+		err := pool.Generate(ctx, engine.Request{
+			Model: localcluster.Model, Version: localcluster.ModelVersion, Layers: localcluster.Layers,
+			Prompt: hashmodel.Tokenize(fmt.Sprint("question ", n)), MaxTokens: overheadTokens,
+		}, func(hashmodel.Token) error {
+			last = recordGap(gaps, last)
+			return nil
+		})
+		if err != nil {
+			return nil, fmt.Errorf("direct answer: %w", err)
+		}
+	}
+	return gaps, nil
+}
+
+// measureRest shows what each entry instance costs while nobody asks.
+func measureRest(ctx context.Context, c *localcluster.Cluster) error {
+	const rest = 10 * time.Second
+	before := map[string]time.Duration{}
+	for _, e := range c.Entries {
+		used, err := e.ProcessorTime()
+		if err != nil {
+			return err
+		}
+		before[e.Name] = used
+	}
+	select {
+	case <-time.After(rest):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for _, e := range c.Entries {
+		used, err := e.ProcessorTime()
+		if err != nil {
+			return err
+		}
+		resident, err := e.ResidentBytes()
+		if err != nil {
+			return err
+		}
+		const mebibyte = 1 << 20
+		fmt.Printf("%s at rest: %.2f %% of a core, %d MiB resident\n",
+			e.Name, 100*(used-before[e.Name]).Seconds()/rest.Seconds(), resident/mebibyte)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/engine/matrix_test.go
@@ -0,0 +1,184 @@
+package engine
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/runner"
+)
+
+// The steps of an answer, by the number of the step that is sent, and the
+// faults that meet it there.
+var (
+	matrixSteps = []struct {
+		name   string
+		number int
+	}{
+		{"prefill-first", 0}, {"prefill-last", 1}, {"token-first", 4}, {"token-last", 5}, {"end-first", 8}, {"end-last", 9},
+	}
+	matrixFaults = []string{
+		"killed", "restarted", "silent", "frozen", "reply-dropped", "reply-repeated", "reply-crossed", "reply-late",
+		"slow", "leaving", "loading", "cancelled",
+	}
+)
+
+// firstChooser always takes the first choice.
+type firstChooser struct{}
+
+func (firstChooser) Choose(int) int { return 0 }
+
+// answerRun is one answer that meets faults at numbered steps.
+type answerRun struct {
+	w      *world
+	s      *simSession
+	other  *simSession
+	faults map[int][]string
+	number int
+	held   []sentReply
+	struck map[string]bool
+}
+
+func runAnswer(faults map[int][]string) *answerRun {
+	w := newWorld(noFlaw)
+	r := &answerRun{w: w, s: w.sessions[0], other: w.sessions[1], faults: faults, struck: map[string]bool{}}
+	r.s.act(firstChooser{}, r.s.session.Start())
+	for round := 0; round < 400 && r.s.outcome == nil && !r.s.session.Ended(); round++ {
+		r.round()
+	}
+	for _, late := range r.held {
+		r.s.step(firstChooser{}, StepReplied{From: late.from, Reply: late.reply})
+	}
+	return r
+}
+
+// round carries the oldest step, or lets time pass when there is none.
+func (r *answerRun) round() {
+	if len(r.w.steps) == 0 {
+		r.w.now = r.w.now.Add(100 * time.Millisecond)
+		r.s.step(firstChooser{}, Tick{})
+		return
+	}
+	sent := r.w.steps[0]
+	r.w.steps = r.w.steps[1:]
+	number := r.number
+	r.number++
+	deliver := true
+	for _, fault := range r.faults[number] {
+		deliver = r.strike(fault, sent) && deliver
+	}
+	if deliver {
+		r.deliver(sent)
+	}
+}
+
+func (r *answerRun) deliver(sent sentStep) {
+	r.s.step(firstChooser{}, StepReplied{From: sent.to.hop.Runner, Reply: sent.to.run(r.w, sent.step)})
+}
+
+// strike lets a fault happen and reports whether the step goes on.
+func (r *answerRun) strike(fault string, sent sentStep) bool {
+	c, id := firstChooser{}, sent.to.hop.Runner
+	refuse := func(status runner.Status) {
+		r.s.step(c, StepReplied{From: id, Reply: runner.Reply{
+			Session: sent.step.Session, Epoch: sent.step.Epoch, Position: sent.step.Position, Status: status,
+		}})
+	}
+	switch fault {
+	case "killed":
+		sent.to.states, sent.to.last = map[string]*fakeState{}, map[string]runner.Reply{}
+		r.s.step(c, StreamLost{Runner: id})
+		r.w.steps = nil
+		r.s.step(c, RunnerUnreachable{Runner: id})
+	case "restarted":
+		sent.to.states, sent.to.last = map[string]*fakeState{}, map[string]runner.Reply{}
+		r.s.step(c, StreamLost{Runner: id})
+	case "silent":
+		sent.to.run(r.w, sent.step)
+		r.s.step(c, StreamLost{Runner: id})
+	case "frozen":
+		r.w.now = r.w.now.Add(time.Second)
+		r.s.step(c, Tick{})
+		r.w.steps = nil
+		r.w.now = r.w.now.Add(time.Second)
+		r.s.step(c, Tick{})
+	case "reply-dropped":
+		sent.to.run(r.w, sent.step)
+	case "reply-repeated":
+		r.deliver(sent)
+		r.deliver(sent)
+	case "reply-crossed":
+		crossed := sent.to.run(r.w, sent.step)
+		crossed.Session = r.other.session.config.ID
+		r.s.step(c, StepReplied{From: id, Reply: crossed})
+		return true
+	case "reply-late":
+		r.held = append(r.held, sentReply{from: id, reply: sent.to.run(r.w, sent.step)})
+		r.s.step(c, RunnerUnreachable{Runner: id})
+	case "slow":
+		r.w.now = r.w.now.Add(200 * time.Millisecond)
+		return true
+	case "leaving":
+		refuse(runner.StepLeaving)
+	case "loading":
+		refuse(runner.StepWrongModel)
+	case "cancelled":
+		r.s.step(c, Cancelled{})
+	}
+	return false
+}
+
+func (r *answerRun) row(step, fault string) string {
+	outcome := "cancelled"
+	if r.s.outcome != nil {
+		outcome = strings.TrimPrefix(fmt.Sprintf("%T", r.s.outcome), "engine.")
+	}
+	return fmt.Sprintf("%-14s %-15s %-10s tokens=%d paths=%d steps=%d", step, fault, outcome, len(r.s.got), r.s.session.paths, r.number)
+}
+
+// TestFaultMatrix meets an answer with every fault at every step and compares
+// what its caller gets with testdata/faults.txt.
+func TestFaultMatrix(t *testing.T) {
+	var rows []string
+	for _, step := range matrixSteps {
+		for _, fault := range matrixFaults {
+			r := runAnswer(map[int][]string{step.number: {fault}})
+			assert.NilError(t, r.s.fault, "%s %s", step.name, fault)
+			rows = append(rows, r.row(step.name, fault))
+		}
+	}
+	want, err := os.ReadFile("testdata/faults.txt")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(rows, "\n"), strings.TrimSpace(string(want)))
+}
+
+// TestFaultPairs meets an answer with every two faults at every two steps: it
+// ends whole, unless its caller has gone, and no token is wrong, missing or
+// repeated.
+func TestFaultPairs(t *testing.T) {
+	pairs := 0
+	for _, one := range matrixSteps {
+		for _, fault1 := range matrixFaults {
+			for _, other := range matrixSteps {
+				for _, fault2 := range matrixFaults {
+					faults := map[int][]string{one.number: {fault1}}
+					if one.number != other.number {
+						faults[other.number] = []string{fault2}
+					}
+					r := runAnswer(faults)
+					assert.NilError(t, r.s.fault, "%s %s, %s %s", one.name, fault1, other.name, fault2)
+					if fault1 != "cancelled" && fault2 != "cancelled" {
+						_, whole := r.s.outcome.(Finish)
+						assert.Assert(t, whole, "%s %s, %s %s: %T", one.name, fault1, other.name, fault2, r.s.outcome)
+					}
+					pairs++
+				}
+			}
+		}
+	}
+	t.Logf("%d pairs of faults", pairs)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -216,3 +216,9 @@
 	}
 	return "cut"
 }
+
+// Stream asks one question through the first entry instance and calls token
+// for each token. It returns nil only for a whole answer.
+func Stream(ctx context.Context, o Options, prompt string, token func(string)) error {
+	return newHTTPClient().stream(ctx, o.Callers[0], o, prompt, token)
+}
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -185,3 +185,40 @@
 	defer b.mu.Unlock()
 	return string(b.data)
 }
+
+// ProcessorTime returns the processor time that the process has used so far.
+func (p *Process) ProcessorTime() (time.Duration, error) {
+	// The fields of proc(5) after the name in brackets; times count in ticks
+	// of a hundredth of a second on every Linux.
+	const userField, systemField, tick = 11, 12, 10 * time.Millisecond
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("read processor time: %w", err)
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) <= systemField {
+		return 0, fmt.Errorf("read processor time: %d fields", len(fields))
+	}
+	var user, system int64
+	if _, err := fmt.Sscan(fields[userField], &user); err != nil {
+		return 0, fmt.Errorf("read processor time: %w", err)
+	}
+	if _, err := fmt.Sscan(fields[systemField], &system); err != nil {
+		return 0, fmt.Errorf("read processor time: %w", err)
+	}
+	return time.Duration(user+system) * tick, nil
+}
+
+// ResidentBytes returns the memory that the process holds.
+func (p *Process) ResidentBytes() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+	return resident * int64(os.Getpagesize()), nil
+}
--- a/internal/logservice/claim/batcher.go
+++ b/internal/logservice/claim/batcher.go
@@ -62,8 +62,10 @@
 	mu       sync.Mutex
 	claims   []queuedClaim
 	outcomes []Entry
-	stats    BatcherStats
-	single   bool
+	// sending counts the outcomes in the append that is under way.
+	sending int
+	stats   BatcherStats
+	single  bool
 }
 
 type queuedClaim struct {
@@ -147,7 +149,7 @@
 func (b *Batcher) Pending() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.outcomes)
+	return len(b.outcomes) + b.sending
 }
 
 func (b *Batcher) signal() {
@@ -187,8 +189,12 @@
 	for _, c := range claims {
 		c.done(claimResult(offset, err))
 	}
-	if err != nil {
-		b.putBack(ctx, outcomes)
+	b.sent(outcomes, err)
+	if err != nil && len(outcomes) > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(outcomeRetry):
+		}
 	}
 	return true
 }
@@ -227,21 +233,19 @@
 	n := min(len(b.outcomes), limit)
 	outcomes := append([]Entry(nil), b.outcomes[:n]...)
 	b.outcomes = b.outcomes[n:]
+	b.sending = n
 	m := min(len(b.claims), limit-n)
 	claims := append([]queuedClaim(nil), b.claims[:m]...)
 	b.claims = b.claims[m:]
 	return claims, outcomes
 }
 
-func (b *Batcher) putBack(ctx context.Context, outcomes []Entry) {
-	if len(outcomes) == 0 {
-		return
-	}
+// sent ends an append; what the log did not take is queued again, first.
+func (b *Batcher) sent(outcomes []Entry, err error) {
 	b.mu.Lock()
-	b.outcomes = append(append([]Entry(nil), outcomes...), b.outcomes...)
-	b.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(outcomeRetry):
+	defer b.mu.Unlock()
+	b.sending = 0
+	if err != nil {
+		b.outcomes = append(append([]Entry(nil), outcomes...), b.outcomes...)
 	}
 }
