Idle streams and idle tenants cost nothing

Every open stream woke ten times a second, and every request's end walked over all tenants.

Ruled out: a longer beat; silence would be noticed too late for 0.73 s.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -77,6 +77,8 @@
 	duration time.Duration
 	// share is the part of the rate of a tenant that is new here.
 	share float64
+	// forgot is when idle tenants were last dropped.
+	forgot time.Time
 }
 
 // NewAdmission returns an admission that lets limit requests run at once.
@@ -261,7 +263,7 @@
 	state := a.tenant(now, t.Tenant)
 	state.running--
 	a.sample(now.Sub(t.started))
-	a.Expire(now)
+	a.expireQueue(now)
 	for next := a.nextTicket(now); next != nil; next = a.nextTicket(now) {
 		heap.Remove(&a.queue, next.index)
 		a.virtual = max(a.virtual, next.finish-next.Cost/float64(next.Tenant.Weight))
@@ -291,9 +293,17 @@
 	a.duration += time.Duration(durationWeight * float64(took-a.duration))
 }
 
-// Expire turns away the queued requests whose deadline has passed, and drops
-// the state of idle tenants.
+// Expire turns away the queued requests whose deadline has passed, and now and
+// then drops the state of idle tenants.
 func (a *Admission) Expire(now time.Time) {
+	a.expireQueue(now)
+	if now.Sub(a.forgot) >= idleTenant {
+		a.forgot = now
+		a.forgetIdle(now)
+	}
+}
+
+func (a *Admission) expireQueue(now time.Time) {
 	for i := 0; i < len(a.queue); {
 		t := a.queue[i]
 		if now.Sub(t.arrived) <= t.Deadline {
@@ -307,6 +317,9 @@
 		}
 		i = 0
 	}
+}
+
+func (a *Admission) forgetIdle(now time.Time) {
 	for name, state := range a.tenants {
 		if state.running+state.queued == 0 && now.Sub(state.seen) > idleTenant {
 			a.weights -= state.weight
--- a/internal/runner/stream.go
+++ b/internal/runner/stream.go
@@ -77,7 +77,6 @@
 type outgoing struct {
 	step  *Step
 	close *Close
-	beat  uint64
 }
 
 // Dial opens a stream to the runner that listens at address, HOST:PORT.
@@ -151,34 +150,59 @@
 }
 
 func (s *Stream) write() {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(beatInterval)
+	defer timer.Stop()
 	beat := uint64(0)
 	for {
-		var first outgoing
-		select {
-		case <-s.done:
+		frame, ok := s.nextFrame(timer)
+		if !ok {
+			return
+		}
+		// Sending goes on over a connection that has gone silent, so silence
+		// is looked at also when there is something to send.
+		silence := s.silence(time.Now())
+		if silence >= silenceTimeout {
+			s.Shutdown(&SilentError{For: silence})
 			return
-		case first = <-s.outgoing:
-		case now := <-ticker.C:
-			silence := s.silence(now)
-			if silence >= silenceTimeout {
-				s.Shutdown(&SilentError{For: silence})
-				return
-			}
-			if silence < beatInterval {
-				continue
-			}
+		}
+		if silence >= beatInterval {
 			beat++
-			first = outgoing{beat: beat}
+			frame.Beat = beat
+		}
+		if frame.empty() {
+			continue
 		}
-		if err := s.writeFrame(s.collect(first)); err != nil {
+		if err := s.writeFrame(frame); err != nil {
 			s.Shutdown(err)
 			return
 		}
 	}
 }
 
+// nextFrame waits for something to send, and while answers are due no longer
+// than beatInterval; the frame is empty then. An idle stream waits for the next
+// step only, so that many of them cost nothing. It reports false at the
+// stream's end.
+func (s *Stream) nextFrame(timer *time.Timer) (Frame, bool) {
+	var watch <-chan time.Time
+	if s.waiting.Load() > 0 {
+		timer.Reset(beatInterval)
+		watch = timer.C
+	}
+	select {
+	case <-s.done:
+		return Frame{}, false
+	case first := <-s.outgoing:
+		return s.collect(first), true
+	case <-watch:
+		return Frame{}, true
+	}
+}
+
+func (f *Frame) empty() bool {
+	return len(f.Steps)+len(f.Closes) == 0 && f.Beat == 0
+}
+
 // silence is how long an answer has been due without a sign of life.
 func (s *Stream) silence(now time.Time) time.Duration {
 	if s.waiting.Load() <= 0 {
@@ -214,13 +238,19 @@
 }
 
 func (f *Frame) add(o outgoing) {
-	switch {
-	case o.step != nil:
+	if o.step != nil {
 		f.Steps = append(f.Steps, *o.step)
-	case o.close != nil:
+	}
+	if o.close != nil {
 		f.Closes = append(f.Closes, *o.close)
-	default:
-		f.Beat = o.beat
+	}
+}
+
+// answered counts a reply. A runner that repeats replies must not make the
+// stream believe that no answer is due for good.
+func (s *Stream) answered() {
+	if s.waiting.Add(-1) < 0 {
+		s.waiting.Store(0)
 	}
 }
 
@@ -238,7 +268,7 @@
 		}
 		s.heard.Store(time.Now().UnixNano())
 		for _, reply := range frame.Replies {
-			s.waiting.Add(-1)
+			s.answered()
 			s.receiver.Replied(s.id, reply)
 		}
 	}
