--- a/cmd/mulberryhead/experiment.go
+++ b/cmd/mulberryhead/experiment.go
@@ -20,7 +20,7 @@
 
 type fleetCommand struct {
 	Runners   int           `long:"runners" default:"40" description:"runners of four kinds"`
-	Sessions  int           `long:"sessions" default:"2400" description:"answers that run at once"`
+	Sessions  int           `long:"sessions" default:"4800" description:"answers that run at once; saturation takes about twice the batches of all runners"`
 	MaxTokens int           `long:"max-tokens" default:"64" description:"tokens of each answer"`
 	Warmup    time.Duration `long:"warmup" default:"6s" description:"time before counting"`
 	Duration  time.Duration `long:"duration" default:"10s" description:"time of counting"`
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/caller"
 	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/logservice"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
 	"mulberryhead.org/mulberryhead/internal/peer"
 )
@@ -27,14 +28,11 @@
 func (d *Daemon) Received(from peer.Hello, message peer.Message) {
 	switch m := message.(type) {
 	case peer.Documents:
-		asOf, whole := d.keeper.AsOf()
-		if m.AsOf > asOf || !whole || !d.keeper.Loaded() {
-			d.mesh.Send(from.Instance, peer.DocumentsWanted{AsOf: asOf})
-		}
+		d.heardOfDocuments(from, m)
 	case peer.DocumentsWanted:
-		if snapshot, ok := d.keeper.Snapshot(); ok {
-			d.mesh.Send(from.Instance, peer.DocumentsState{Snapshot: snapshot})
-		}
+		d.sendDocuments(from, m.AsOf)
+	case peer.DocumentsRecords:
+		d.keeper.Take(m.Records)
 	case peer.DocumentsState:
 		if err := d.keeper.Adopt(m.Snapshot); err != nil {
 			d.logger.Error("peer's documents refused", zap.String("peer", string(from.Instance)), zap.Error(err))
@@ -62,6 +60,51 @@
 	})
 }
 
+// ownReadPatience is how long an instance that reads the log waits for its own
+// reading before it asks a peer.
+const ownReadPatience = 200 * time.Millisecond
+
+func (d *Daemon) heardOfDocuments(from peer.Hello, m peer.Documents) {
+	if !d.behind(m.AsOf) {
+		return
+	}
+	if !d.keeper.Readable(time.Now()) {
+		d.askForDocuments(from)
+		return
+	}
+	time.AfterFunc(ownReadPatience, func() {
+		if d.behind(m.AsOf) {
+			d.askForDocuments(from)
+		}
+	})
+}
+
+// behind reports whether a peer that has read up to an offset knows more.
+func (d *Daemon) behind(asOf logservice.Offset) bool {
+	own, whole := d.keeper.AsOf()
+	return asOf > own || !whole || !d.keeper.Loaded()
+}
+
+func (d *Daemon) askForDocuments(from peer.Hello) {
+	asOf, whole := d.keeper.AsOf()
+	if !whole || !d.keeper.Loaded() {
+		// Records alone would not do.
+		asOf = -1
+	}
+	d.mesh.Send(from.Instance, peer.DocumentsWanted{AsOf: asOf})
+}
+
+// sendDocuments sends a peer the records that it lacks, or the whole state.
+func (d *Daemon) sendDocuments(to peer.Hello, asOf logservice.Offset) {
+	if records, ok := d.keeper.Since(asOf); ok && asOf >= 0 {
+		d.mesh.Send(to.Instance, peer.DocumentsRecords{Records: records})
+		return
+	}
+	if snapshot, ok := d.keeper.Snapshot(); ok {
+		d.mesh.Send(to.Instance, peer.DocumentsState{Snapshot: snapshot})
+	}
+}
+
 func (d *Daemon) takeDeltas(m peer.LoadDeltas) {
 	now := time.Now()
 	d.pool.Update(func(f *engine.Fleet) {
--- a/internal/experiment/spread.go
+++ b/internal/experiment/spread.go
@@ -85,7 +85,13 @@
 		if asOf, _ := m.keeper.AsOf(); message.AsOf > asOf {
 			m.mesh.Send(from.Instance, peer.DocumentsWanted{AsOf: asOf})
 		}
+	case peer.DocumentsRecords:
+		m.keeper.Take(message.Records)
 	case peer.DocumentsWanted:
+		if records, ok := m.keeper.Since(message.AsOf); ok && message.AsOf >= 0 {
+			m.mesh.Send(from.Instance, peer.DocumentsRecords{Records: records})
+			return
+		}
 		if snapshot, ok := m.keeper.Snapshot(); ok {
 			m.mesh.Send(from.Instance, peer.DocumentsState{Snapshot: snapshot})
 		}
--- a/internal/logservice/document/keeper.go
+++ b/internal/logservice/document/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	publishTick     = 50 * time.Millisecond
 	checkpointCheck = 5 * time.Second
 	verdictQueue    = 16
+	recentRecords   = 256
 	// adoptDelay is how recently the log must have been read for a publication
 	// to wait for its verdict there.
 	adoptDelay        = 3 * time.Second
@@ -80,9 +82,11 @@
 	fold   *Fold
 	loaded bool
 	// down is set while reads fail.
-	down     bool
-	readAt   time.Time
-	waiting  map[chan Verdict]struct{}
+	down    bool
+	readAt  time.Time
+	waiting map[chan Verdict]struct{}
+	// recent holds the last records, for peers that cannot read the log.
+	recent   []logservice.Record
 	rank     int
 	sinceLog time.Time
 }
@@ -103,13 +107,8 @@
 func (k *Keeper) Records(now time.Time, page logservice.Page) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, record := range page.Records {
-		verdicts, err := k.fold.Apply(record)
-		if err != nil {
-			k.config.Logger.Error("document record refused", zap.Int64("offset", int64(record.Offset)), zap.Error(err))
-			return
-		}
-		k.tell(verdicts)
+	if !k.apply(page.Records) {
+		return
 	}
 	k.readAt = now
 	if k.down {
@@ -124,12 +123,66 @@
 	}
 }
 
+// apply takes records in order, and reports false when one was refused.
+func (k *Keeper) apply(records []logservice.Record) bool {
+	for _, record := range records {
+		fresh := record.Offset == k.fold.Next()
+		verdicts, err := k.fold.Apply(record)
+		if err != nil {
+			k.config.Logger.Error("document record refused", zap.Int64("offset", int64(record.Offset)), zap.Error(err))
+			return false
+		}
+		if fresh {
+			k.recent = append(k.recent, record)
+			k.recent = k.recent[max(0, len(k.recent)-recentRecords):]
+		}
+		k.tell(verdicts)
+	}
+	return true
+}
+
+// Since returns the records after an offset, for a peer that has read up to
+// there. It reports false when they are no longer held.
+func (k *Keeper) Since(asOf logservice.Offset) ([]logservice.Record, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, record := range k.recent {
+		if record.Offset == asOf+1 {
+			return slices.Clone(k.recent[i:]), true
+		}
+	}
+	return nil, false
+}
+
+// Take takes records that a peer has read, as far as they follow on what was
+// read here.
+func (k *Keeper) Take(records []logservice.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	before := k.fold.Next()
+	if len(records) == 0 || records[0].Offset > before || !k.loaded {
+		return
+	}
+	if k.apply(records) && k.fold.Next() > before {
+		k.config.Advanced(k.fold.Next() - 1)
+	}
+}
+
+// Readable reports whether the log was read a moment ago, so that this instance
+// will read for itself what its peers announce.
+func (k *Keeper) Readable(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.loaded && now.Sub(k.readAt) < adoptDelay
+}
+
 // Trimmed implements logservice.Follower.
 func (k *Keeper) Trimmed(_ time.Time, first logservice.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.config.Logger.Warn("documents' stream was trimmed beyond what was read", zap.Int64("first", int64(first)))
 	k.fold.Trimmed(first)
+	k.recent = nil
 }
 
 // Failed implements logservice.Follower.
@@ -222,6 +275,7 @@
 		return err
 	}
 	k.loaded = true
+	k.recent = nil
 	for _, e := range k.fold.Entries() {
 		if version, ok := before[Key{e.Environment, e.Stage}]; !ok || version != e.Version {
 			k.tell([]Verdict{Accepted{Entry: e}})
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -56,6 +56,13 @@
 	Sessions int
 }
 
+type wireRecord struct {
+	_      struct{} `cbor:",toarray"`
+	Offset int64
+	Millis int64
+	Body   []byte
+}
+
 type wireCrash struct {
 	Request uint64 `cbor:"1,keyasint"`
 	Runner  string `cbor:"2,keyasint"`
@@ -96,6 +103,7 @@
 	Call            *wireCall          `cbor:"10,keyasint,omitempty"`
 	Answer          *wireAnswer        `cbor:"11,keyasint,omitempty"`
 	Deltas          []wireDelta        `cbor:"12,keyasint,omitempty"`
+	Records         []wireRecord       `cbor:"13,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR form of a message.
@@ -132,6 +140,10 @@
 			return wire, err
 		}
 		wire.DocumentsState = state
+	case DocumentsRecords:
+		for _, r := range m.Records {
+			wire.Records = append(wire.Records, wireRecord{Offset: int64(r.Offset), Millis: r.Time.UnixMilli(), Body: r.Body})
+		}
 	case Loads:
 		for i := range m.Loads {
 			wire.Loads = append(wire.Loads, loadToWire(&m.Loads[i]))
@@ -185,6 +197,8 @@
 		return DocumentsWanted{AsOf: logservice.Offset(*wire.DocumentsWanted)}, nil
 	case wire.DocumentsState != nil:
 		return stateFromWire(wire.DocumentsState)
+	case wire.Records != nil:
+		return recordsFromWire(wire.Records), nil
 	case wire.Loads != nil:
 		return loadsFromWire(wire.Loads), nil
 	case wire.Deltas != nil:
@@ -242,6 +256,16 @@
 	return DocumentsState{Snapshot: snapshot}, nil
 }
 
+func recordsFromWire(wire []wireRecord) DocumentsRecords {
+	var m DocumentsRecords
+	for _, w := range wire {
+		m.Records = append(m.Records, logservice.Record{
+			Offset: logservice.Offset(w.Offset), Time: time.UnixMilli(w.Millis), Body: w.Body,
+		})
+	}
+	return m
+}
+
 func deltasFromWire(wire []wireDelta) LoadDeltas {
 	var m LoadDeltas
 	for _, w := range wire {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,7 +60,13 @@
 	AsOf logservice.Offset
 }
 
-// DocumentsState carries the documents in force.
+// DocumentsRecords carries the records after what the receiver has read.
+type DocumentsRecords struct {
+	Records []logservice.Record
+}
+
+// DocumentsState carries the documents in force, for a receiver that is too far
+// behind for records.
 type DocumentsState struct {
 	Snapshot document.Checkpoint
 }
@@ -125,15 +131,16 @@
 	Body        []byte
 }
 
-func (Hello) isMessage()           {}
-func (Beat) isMessage()            {}
-func (Members) isMessage()         {}
-func (Documents) isMessage()       {}
-func (DocumentsWanted) isMessage() {}
-func (DocumentsState) isMessage()  {}
-func (Loads) isMessage()           {}
-func (LoadDeltas) isMessage()      {}
-func (Demand) isMessage()          {}
-func (CrashNotice) isMessage()     {}
-func (ForwardCall) isMessage()     {}
-func (ForwardAnswer) isMessage()   {}
+func (Hello) isMessage()            {}
+func (Beat) isMessage()             {}
+func (Members) isMessage()          {}
+func (Documents) isMessage()        {}
+func (DocumentsWanted) isMessage()  {}
+func (DocumentsState) isMessage()   {}
+func (DocumentsRecords) isMessage() {}
+func (Loads) isMessage()            {}
+func (LoadDeltas) isMessage()       {}
+func (Demand) isMessage()           {}
+func (CrashNotice) isMessage()      {}
+func (ForwardCall) isMessage()      {}
+func (ForwardAnswer) isMessage()    {}
