--- /dev/null
+++ b/cmd/mulberryhead/main_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/operator"
+	"mulberryhead.org/mulberryhead/internal/tomlpos"
+)
+
+// TestExitCode lists errors and the exit code that scripts see.
+func TestExitCode(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		want int
+	}{
+		"fine":           {nil, 0},
+		"help":           {&flags.Error{Type: flags.ErrHelp}, 0},
+		"usage":          {&flags.Error{Type: flags.ErrUnknownFlag}, exitUsage},
+		"settings wrong": {&tomlpos.ProblemsError{}, exitUsage},
+		"refused":        {&operator.APIError{Code: "stale-base"}, exitFailed},
+		"anything else":  {errors.New("broken"), exitFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, exitCode(test.err), test.want)
+		})
+	}
+}
+
+// TestCommandLine parses command lines without running them.
+func TestCommandLine(t *testing.T) {
+	for name, test := range map[string]struct {
+		arguments []string
+		ok        bool
+	}{
+		"check":                  {[]string{"check"}, true},
+		"version":                {[]string{"version"}, true},
+		"unknown command":        {[]string{"walk"}, false},
+		"unknown flag":           {[]string{"check", "--loud"}, false},
+		"required flag left out": {[]string{"publish", "--admin", "127.0.0.1:1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := flags.NewParser(&commands{}, flags.PassDoubleDash).ParseArgs(test.arguments)
+			assert.Equal(t, err == nil, test.ok, "%v", err)
+		})
+	}
+}
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -41,14 +41,15 @@
 // whole.
 type answerWriter struct {
 	call    *call
+	timeout time.Duration
 	gen     generation
 	control *http.ResponseController
 	text    strings.Builder
 	tokens  int
 }
 
-func newAnswerWriter(c *call, g generation) *answerWriter {
-	return &answerWriter{call: c, gen: g, control: http.NewResponseController(c.w)}
+func newAnswerWriter(c *call, g generation, timeout time.Duration) *answerWriter {
+	return &answerWriter{call: c, timeout: timeout, gen: g, control: http.NewResponseController(c.w)}
 }
 
 func (a *answerWriter) token(t hashmodel.Token) error {
@@ -84,8 +85,8 @@
 	return answer
 }
 
-// event sends one server-sent event. A caller that does not read for
-// writeTimeout is given up.
+// event sends one server-sent event. A caller that does not read for the
+// timeout is given up.
 func (a *answerWriter) event(value any) error {
 	if !a.call.written {
 		a.call.written = true
@@ -102,7 +103,7 @@
 }
 
 func (a *answerWriter) send(event string) error {
-	if err := a.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := a.control.SetWriteDeadline(time.Now().Add(a.timeout)); err != nil {
 		return err
 	}
 	if _, err := a.call.w.Write([]byte(event)); err != nil {
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -121,8 +122,15 @@
 		Instance: "entry", Zone: "zone-a", Incarnation: uuid.New(), Catalog: catalog, Pool: d.pool, Services: services,
 		Claims: claim.NewLocalTracker(), Local: claim.NewLocalTracker(), Forwarder: noForwarder{}, Observer: noObserver{},
 		Logger: zap.NewNop(), ConcurrentAnswers: 8, ConcurrentRequests: 16,
+		BodyTimeout: 200 * time.Millisecond, WriteTimeout: 200 * time.Millisecond,
 	})
-	d.front = httptest.NewServer(d.server.Handler())
+	d.front = httptest.NewUnstartedServer(d.server.Handler())
+	d.front.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		// Small buffers let a caller that does not read be noticed soon.
+		assert.NilError(t, conn.(*net.TCPConn).SetWriteBuffer(4096))
+		return ctx
+	}
+	d.front.Start()
 	t.Cleanup(d.front.Close)
 	return d
 }
@@ -230,3 +238,44 @@
 	assert.Assert(t, strings.HasSuffix(string(whole), "data: [DONE]\n\n"))
 	assert.NilError(t, d.server.Wait(t.Context()))
 }
+
+// TestSlowCaller sends half a body and no more: the request ends with a
+// problem and nothing is started.
+func TestSlowCaller(t *testing.T) {
+	d := newDeployment(t)
+	conn, err := net.Dial("tcp", d.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /services/orders/bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"+
+		"Idempotency-Key: %s\r\nContent-Length: 100\r\n\r\n{\"half\":", testKey, uuid.Must(uuid.NewV7()))
+	assert.NilError(t, err)
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(answer), string(CodeMalformed)), "%s", answer)
+	assert.Equal(t, len(d.service.Ledger()), 0)
+}
+
+// TestCallerThatDoesNotRead asks for long answers and reads none of them: they
+// are given up, down to the engine.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	d := newDeployment(t)
+	conn, err := net.Dial("tcp", d.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(1024))
+	body := `{"model":"guide","messages":[{"role":"user","content":"a story without end"}],"max_tokens":4096,"stream":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, len(body), body)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		d.server.mu.Lock()
+		running := d.server.admission.Running()
+		d.server.mu.Unlock()
+		status := d.engineStatus(t)
+		if running == 0 && status.Steps > 0 && status.Sessions == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d answers run", running)
+	}, poll.WithTimeout(time.Minute))
+	assert.Assert(t, d.engineStatus(t).Steps < 4096, "the answer went on to its end")
+}
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -18,7 +18,6 @@
 	defaultMaxTokens = 64
 	maxMaxTokens     = 4096
 	maxPromptTokens  = 32768
-	writeTimeout     = 10 * time.Second
 )
 
 func asMaxBytes(err error, target **http.MaxBytesError) bool {
@@ -54,7 +53,7 @@
 }
 
 func (s *Server) chatCompletions(c *call) *ProblemError {
-	body, problem := c.readBody()
+	body, problem := s.readBody(c)
 	if problem != nil {
 		return problem
 	}
@@ -73,7 +72,7 @@
 }
 
 func (s *Server) completions(c *call) *ProblemError {
-	body, problem := c.readBody()
+	body, problem := s.readBody(c)
 	if problem != nil {
 		return problem
 	}
@@ -155,7 +154,7 @@
 
 // answer makes an answer and sends it, streamed or in one piece.
 func (s *Server) answer(c *call, g generation, class environment.Class) *ProblemError {
-	out := newAnswerWriter(c, g)
+	out := newAnswerWriter(c, g, s.config.WriteTimeout)
 	tenant := c.grant.Tenant
 	last := time.Time{}
 	emit := func(t hashmodel.Token) error {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -35,8 +35,10 @@
 	MaxHeaderBytes = 16 << 10
 	// HeaderTimeout bounds how long a request's header may take to come in.
 	HeaderTimeout = 5 * time.Second
-	// BodyTimeout bounds how long a request's body may take to come in.
-	BodyTimeout = 10 * time.Second
+	// DefaultBodyTimeout is the bound that a daemon sets for a body.
+	DefaultBodyTimeout = 10 * time.Second
+	// DefaultWriteTimeout is the bound that a daemon sets for unread answers.
+	DefaultWriteTimeout = 10 * time.Second
 
 	servicesPrefix = "/services/"
 	expireInterval = 50 * time.Millisecond
@@ -83,6 +85,10 @@
 	ConcurrentAnswers int
 	// ConcurrentRequests bounds the requests that are open at once.
 	ConcurrentRequests int
+	// BodyTimeout bounds how long a request's body may take to come in.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds how long a caller may leave an answer unread.
+	WriteTimeout time.Duration
 }
 
 // Server serves callers.
@@ -284,9 +290,9 @@
 }
 
 // readBody returns the whole body, within its bounds.
-func (c *call) readBody() ([]byte, *ProblemError) {
+func (s *Server) readBody(c *call) ([]byte, *ProblemError) {
 	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, MaxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
--- a/internal/caller/services.go
+++ b/internal/caller/services.go
@@ -72,7 +72,7 @@
 	if !ok {
 		return fail(&ProblemError{Status: http.StatusNotFound, Code: CodeUnknownMethod, Detail: "the service has no such operation"})
 	}
-	body, problem := c.readBody()
+	body, problem := s.readBody(c)
 	if problem != nil {
 		return fail(problem)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,7 @@
 		Catalog: d.catalog, Pool: d.pool, Services: d.services, Claims: d.claims, Local: d.local,
 		Forwarder: d, Observer: d.metrics, Logger: d.logger,
 		ConcurrentAnswers: settings.ConcurrentAnswers, ConcurrentRequests: settings.ConcurrentRequests,
+		BodyTimeout: caller.DefaultBodyTimeout, WriteTimeout: caller.DefaultWriteTimeout,
 	})
 	d.operators = operator.NewServer(operator.Config{
 		Keeper: d.keeper, TokenHash: settings.OperatorTokenHash, Status: d.state,
--- /dev/null
+++ b/internal/operator/api_test.go
@@ -0,0 +1,133 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/pkg/environment"
+)
+
+const token = "operator-token"
+
+// memoryLog hands each record that it takes to the keeper at once.
+type memoryLog struct {
+	mu     sync.Mutex
+	keeper *document.Keeper
+	next   logservice.Offset
+}
+
+func (l *memoryLog) Append(_ context.Context, stream logservice.StreamName, body []byte) (logservice.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.next
+	l.next++
+	go l.keeper.Records(time.Now(), logservice.Page{
+		Next: offset + 1, Records: []logservice.Record{{Offset: offset, Time: time.Now(), Body: body}},
+	})
+	return offset, nil
+}
+
+func startServer(t *testing.T) (*Client, *httptest.Server) {
+	t.Helper()
+	log := &memoryLog{}
+	keeper := document.NewKeeper(document.Config{
+		Appender: log, Accepted: func(document.Entry) {}, Advanced: func(logservice.Offset) {}, Logger: zap.NewNop(),
+	})
+	log.keeper = keeper
+	keeper.Records(time.Now(), logservice.Page{})
+	server := httptest.NewServer(NewServer(Config{
+		Keeper: keeper, TokenHash: environment.HashKey(token), Logger: zap.NewNop(),
+		Status:  func() Status { return Status{Instance: "entry-1", Ready: keeper.Loaded()} },
+		Metrics: http.NotFoundHandler(),
+	}).Handler())
+	t.Cleanup(server.Close)
+	return NewClient(server.Listener.Addr().String(), token), server
+}
+
+func body(environmentName, comment string) []byte {
+	return []byte("environment = \"" + environmentName + "\"\n# " + comment + "\n")
+}
+
+func refusal(t *testing.T, err error) *APIError {
+	t.Helper()
+	var refused *APIError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	return refused
+}
+
+// TestPublishAndPromote walks a document from nothing into production, and
+// meets every refusal on the way.
+func TestPublishAndPromote(t *testing.T) {
+	client, _ := startServer(t)
+	publish := func(b []byte, base *document.Version) (Published, error) {
+		return client.Publish(t.Context(), Publication{Environment: "bench", ID: uuid.New(), Base: base, Body: b})
+	}
+	promote := func() (Published, error) {
+		return client.Promote(t.Context(), Publication{Environment: "bench", ID: uuid.New()})
+	}
+	_, err := promote()
+	assert.Equal(t, refusal(t, err).Code, "not-tried")
+	_, err = publish([]byte("environment = 7"), nil)
+	assert.Equal(t, refusal(t, err).Status, http.StatusUnprocessableEntity)
+	_, err = publish(body("kiosk", ""), nil)
+	assert.Equal(t, refusal(t, err).Code, "document-invalid")
+
+	first, err := publish(body("bench", "one"), nil)
+	assert.NilError(t, err)
+	second, err := publish(body("bench", "two"), &first.Version)
+	assert.NilError(t, err)
+	assert.Assert(t, second.Version > first.Version)
+	_, err = publish(body("bench", "three"), &first.Version)
+	conflict := refusal(t, err)
+	assert.Equal(t, conflict.Code, "stale-base")
+	assert.Equal(t, conflict.Winner.Version, second.Version)
+
+	promoted, err := promote()
+	assert.NilError(t, err)
+	assert.Equal(t, promoted.Stage, environment.Production)
+	assert.Equal(t, promoted.Digest, second.Digest)
+	status, err := client.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, status.Ready)
+}
+
+// TestAccess lists requests without rights or sense and the status they get.
+func TestAccess(t *testing.T) {
+	_, server := startServer(t)
+	for name, test := range map[string]struct {
+		method, path, token string
+		want                int
+	}{
+		"no token":                {http.MethodGet, "/admin/v1/status", "", http.StatusUnauthorized},
+		"wrong token":             {http.MethodGet, "/admin/v1/status", "x", http.StatusUnauthorized},
+		"right token":             {http.MethodGet, "/admin/v1/status", token, http.StatusOK},
+		"publish into production": {http.MethodPost, "/admin/v1/environments/bench/production", token, http.StatusBadRequest},
+		"publish id malformed":    {http.MethodPut, "/admin/v1/environments/bench/promote?publish-id=7", token, http.StatusNotFound},
+		"nothing in force":        {http.MethodGet, "/admin/v1/environments/bench/trial", token, http.StatusNotFound},
+		"health needs no token":   {http.MethodGet, "/healthz", "", http.StatusOK},
+		"readiness":               {http.MethodGet, "/readyz", "", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), test.method, server.URL+test.path, nil)
+			assert.NilError(t, err)
+			if test.token != "" {
+				request.Header.Set("Authorization", "Bearer "+test.token)
+			}
+			response, err := http.DefaultClient.Do(request)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, test.want)
+		})
+	}
+}
