Checkpoints in parts

Cause: a checkpoint of 5,700 documents of 500 B outgrows the 4 MB of a record, and from then on none could be written before the log's retention ran out. Ruled out: documents' streams split by hash; the fold would then be many, and today's sizes need one.

--- a/internal/logservice/document/fold.go
+++ b/internal/logservice/document/fold.go
@@ -67,6 +67,7 @@
 	// publications read since.
 	floor      logservice.Offset
 	pending    []pendingPublication
+	parts      partCollector
 	checkpoint time.Time
 }
 
@@ -140,10 +141,14 @@
 	case Publication:
 		return f.publish(record.Offset, r)
 	case Checkpoint:
+		whole, ok := f.parts.add(r)
+		if !ok {
+			return nil, nil
+		}
 		if record.Time.After(f.checkpoint) {
 			f.checkpoint = record.Time
 		}
-		return f.restore(r)
+		return f.restore(whole)
 	}
 	return nil, nil
 }
@@ -227,6 +232,7 @@
 		return
 	}
 	f.whole = false
+	f.parts = partCollector{}
 	f.next = first
 	f.floor = first
 	f.pending = nil
--- a/internal/logservice/document/keeper.go
+++ b/internal/logservice/document/keeper.go
@@ -429,12 +429,17 @@
 	return k.fold.Snapshot()
 }
 
+// writeCheckpoint appends a checkpoint. One that stops halfway counts for
+// nothing, and another instance writes the next.
 func (k *Keeper) writeCheckpoint(ctx context.Context, c Checkpoint) {
-	body, err := EncodeRecord(c)
-	if err == nil {
-		_, err = k.config.Appender.Append(ctx, Stream, body)
-	}
-	if err != nil {
-		k.config.Logger.Warn("checkpoint not appended", zap.Error(err))
+	for _, part := range split(c, maxPartBytes) {
+		body, err := EncodeRecord(part)
+		if err == nil {
+			_, err = k.config.Appender.Append(ctx, Stream, body)
+		}
+		if err != nil {
+			k.config.Logger.Warn("checkpoint not appended", zap.Error(err))
+			return
+		}
 	}
 }
--- a/internal/logservice/document/prove_test.go
+++ b/internal/logservice/document/prove_test.go
@@ -28,6 +28,8 @@
 	gapIgnored
 	// triedByDigest judges a promotion by its digest, which can come back.
 	triedByDigest
+	// partTakenForWhole restores from one part of a checkpoint.
+	partTakenForWhole
 	// olderSnapshotAdopted takes a peer's snapshot that is behind.
 	olderSnapshotAdopted
 )
@@ -149,6 +151,10 @@
 		if w.flaw == staleCheckpointTrusted {
 			n.floor = 0
 		}
+		if w.flaw == partTakenForWhole {
+			c.Part, c.Parts = 0, 1
+			r.Body, _ = EncodeRecord(c)
+		}
 	}
 	verdicts, err := n.Apply(w.flawed(n, r))
 	if err != nil {
@@ -206,7 +212,11 @@
 		return w.read(n)
 	case 7:
 		if snapshot, ok := n.Snapshot(); ok && snapshot.AsOf >= 0 {
-			w.appends = append(w.appends, snapshot)
+			// A part takes one entry, so that checkpoints come in parts, mixed
+			// with others and with some lost.
+			for _, part := range split(snapshot, 1+c.Choose(2)*(1<<20)) {
+				w.appends = append(w.appends, part)
+			}
 		}
 	case 8:
 		return w.gossip(n, w.nodes[c.Choose(len(w.nodes))])
@@ -294,6 +304,7 @@
 		"stale checkpoint fills a gap": staleCheckpointTrusted,
 		"gap in the log ignored":       gapIgnored,
 		"promotion judged by digest":   triedByDigest,
+		"part taken for the whole":     partTakenForWhole,
 		"older snapshot adopted":       olderSnapshotAdopted,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/logservice/document/record.go
+++ b/internal/logservice/document/record.go
@@ -48,9 +48,16 @@
 	Promotes Version
 }
 
-// Checkpoint repeats the whole state after the record at AsOf.
+// Checkpoint repeats the state after the record at AsOf, or one part of it: a
+// large state takes several records.
 type Checkpoint struct {
-	AsOf    logservice.Offset
+	AsOf logservice.Offset
+	// Part counts from 0 up to Parts, excluded. Parts of 0 or 1 stand for the
+	// whole state.
+	Part  int
+	Parts int
+	// Set ties the parts of one checkpoint together.
+	Set     uuid.UUID
 	Entries []Entry
 }
 
@@ -103,6 +110,9 @@
 type wireCheckpoint struct {
 	AsOf    int64       `cbor:"1,keyasint"`
 	Entries []wireEntry `cbor:"2,keyasint"`
+	Part    int         `cbor:"3,keyasint,omitempty"`
+	Parts   int         `cbor:"4,keyasint,omitempty"`
+	Set     uuid.UUID   `cbor:"5,keyasint,omitempty"`
 }
 
 type wireRecord struct {
@@ -150,7 +160,7 @@
 }
 
 func checkpointToWire(c Checkpoint) *wireCheckpoint {
-	wire := &wireCheckpoint{AsOf: int64(c.AsOf)}
+	wire := &wireCheckpoint{AsOf: int64(c.AsOf), Part: c.Part, Parts: c.Parts, Set: c.Set}
 	for _, e := range c.Entries {
 		w := wireEntry{
 			Environment: string(e.Environment), Stage: string(e.Stage), Version: int64(e.Version),
@@ -165,7 +175,7 @@
 }
 
 func checkpointFromWire(wire *wireCheckpoint) Checkpoint {
-	c := Checkpoint{AsOf: logservice.Offset(wire.AsOf)}
+	c := Checkpoint{AsOf: logservice.Offset(wire.AsOf), Part: wire.Part, Parts: wire.Parts, Set: wire.Set}
 	for _, w := range wire.Entries {
 		e := Entry{
 			Environment: environment.Name(w.Environment), Stage: environment.Stage(w.Stage), Version: Version(w.Version),
