Random faults on real processes

Cause: process tests met one fault at a time, in a fixed order. After: TestSoak kills, replaces and freezes instances, kills, silences, slows and crosses engines, loses answers of services and the log, takes the log down and cuts instances off, under mixed load.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
-.PHONY: build demo test check lint unit process prove bench fuzz
+.PHONY: build demo test check lint unit process prove soak bench fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -51,3 +51,9 @@
 	$(GO) test -run '^$$' -fuzz FuzzLedger -fuzztime $(FUZZTIME) ./internal/logservice/claim
 	$(GO) test -run '^$$' -fuzz FuzzFold -fuzztime $(FUZZTIME) ./internal/logservice/document
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./pkg/environment
+
+# Random faults on real processes under load.
+STEPS ?= 200
+soak: build
+	MULBERRYHEAD_BINARIES=$(CURDIR)/bin MULBERRYHEAD_SOAK_STEPS=$(STEPS) MULBERRYHEAD_SOAK_SEED=$(SEED) \
+		$(GO) test -count=1 -timeout 60m -v -tags process -run TestSoak ./internal/localcluster
--- a/internal/localcluster/script_test.go
+++ b/internal/localcluster/script_test.go
@@ -54,25 +54,8 @@
 func runScript(t *testing.T, binaries, file string) {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 	defer cancel()
-	cluster, err := Start(ctx, TwoZones(binaries, t.TempDir()))
-	assert.NilError(t, err)
-	s := &script{
-		t: t, ctx: ctx, cluster: cluster, loads: map[string]chan *load.Report{},
-		version: ModelVersion, reports: map[string]*load.Report{}, keys: map[string]string{}, told: map[string]string{},
-	}
-	defer func() {
-		if t.Failed() {
-			for _, e := range cluster.Entries {
-				t.Logf("%s:\n%s", e.Name, alarming(e.Output()))
-			}
-		}
-		_ = cluster.Stop()
-	}()
-	s.publish("entry-a1", "ok")
-	s.promote("entry-a1", "ok")
-	s.inForce("2")
-	s.ask("entry-a1")
-	s.ask("entry-b1")
+	s := startScript(ctx, t, binaries)
+	defer s.close()
 	source, err := os.Open(file)
 	assert.NilError(t, err)
 	defer func() { _ = source.Close() }()
@@ -90,6 +73,33 @@
 	}
 }
 
+// startScript starts a deployment with a document in production.
+func startScript(ctx context.Context, t *testing.T, binaries string) *script {
+	t.Helper()
+	cluster, err := Start(ctx, TwoZones(binaries, t.TempDir()))
+	assert.NilError(t, err)
+	s := &script{
+		t: t, ctx: ctx, cluster: cluster, loads: map[string]chan *load.Report{},
+		version: ModelVersion, reports: map[string]*load.Report{}, keys: map[string]string{}, told: map[string]string{},
+	}
+	s.publish("entry-a1", "ok")
+	s.promote("entry-a1", "ok")
+	s.inForce("2")
+	s.ask("entry-a1")
+	s.ask("entry-b1")
+	return s
+}
+
+// close stops the deployment, and shows its alarms when the test has failed.
+func (s *script) close() {
+	if s.t.Failed() {
+		for _, e := range s.cluster.Entries {
+			s.t.Logf("%s:\n%s", e.Name, alarming(e.Output()))
+		}
+	}
+	_ = s.cluster.Stop()
+}
+
 // alarming keeps the log lines above the level info.
 func alarming(output string) string {
 	var kept []string
@@ -315,6 +325,7 @@
 func (s *script) wait(name string, checks []string) {
 	report := <-s.loads[name]
 	assert.Assert(s.t, report != nil)
+	s.reports[name] = report
 	for key, outcome := range report.Outcomes() {
 		s.told[key] = outcome
 	}
