Ready once runners are known; tenants' concurrency split like their rate

Cause: a fresh instance was ready before its first report of a runner and answered no-runners for up to a second; a tenant's concurrency limit counted at each instance by itself. Ruled out: waiting for runners without end; a zone without runners must serve plain services.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sort"
 	"time"
 
@@ -151,6 +152,12 @@
 	}
 }
 
+// concurrent is how many requests of a tenant may be here at once: this
+// instance's part of its limit, at least one.
+func (s *tenantState) concurrent(t environment.Tenant) int {
+	return max(1, int(math.Ceil(float64(t.Concurrent)*s.share)))
+}
+
 // burstOf is what a tenant may send at once after a pause.
 func burstOf(perSecond float64) int {
 	return max(1, int(perSecond))
@@ -179,7 +186,7 @@
 
 // turnAway returns the problem of a request that can't be served in time.
 func (a *Admission) turnAway(now time.Time, state *tenantState, t *Ticket) *ProblemError {
-	if state.running+state.queued >= t.Tenant.Concurrent {
+	if state.running+state.queued >= state.concurrent(t.Tenant) {
 		return &ProblemError{Status: 429, Code: CodeTenantBusy, Detail: "the tenant's concurrent requests are used up", RetryAfter: max(a.wait(state.queued+1), time.Second)}
 	}
 	if problem := state.charge(now); problem != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	operators *operator.Server
 
 	leaving   atomic.Bool
+	started   time.Time
 	listening func(role, address string)
 
 	mu      sync.Mutex
@@ -62,7 +63,7 @@
 // address that it then serves on.
 func New(settings Settings, logger *zap.Logger, listening func(role, address string)) *Daemon {
 	d := &Daemon{
-		settings: settings, listening: listening, incarnation: uuid.New(), metrics: newMetrics(),
+		settings: settings, started: time.Now(), listening: listening, incarnation: uuid.New(), metrics: newMetrics(),
 		logger: logger.With(zap.String("instance", string(settings.Instance))),
 		view:   instancelist.NewView(), applied: map[document.Key]document.Version{},
 		sharer: newLoadSharer(), demands: newDemands(),
@@ -223,8 +224,25 @@
 	}
 }
 
+// runnersPatience is how long a new instance waits for the first reports of
+// runners before it takes requests without them.
+const runnersPatience = 3 * time.Second
+
 // ready reports whether the instance may get new requests: it is not leaving,
-// and knows the documents in force from the log or from a peer.
-func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.keeper.Loaded()
+// and knows the documents in force from the log or from a peer, and the runners
+// unless there seem to be none.
+func (d *Daemon) ready(now time.Time) bool {
+	if d.leaving.Load() || !d.keeper.Loaded() {
+		return false
+	}
+	if now.Sub(d.started) >= runnersPatience {
+		return true
+	}
+	reported := false
+	d.pool.Update(func(f *engine.Fleet) {
+		for _, r := range f.Runners() {
+			reported = reported || !r.ReportedAt().IsZero()
+		}
+	})
+	return reported
 }
--- a/internal/daemon/documents.go
+++ b/internal/daemon/documents.go
@@ -61,7 +61,7 @@
 	}
 	status := operator.Status{
 		Instance: string(d.settings.Instance), Zone: string(d.settings.Zone), Incarnation: d.incarnation.String(),
-		Ready: d.ready(), LogAgeMillis: -1, AsOf: int64(asOf), Keys: d.claims.Len(), Fence: int64(fence),
+		Ready: d.ready(time.Now()), LogAgeMillis: -1, AsOf: int64(asOf), Keys: d.claims.Len(), Fence: int64(fence),
 	}
 	if at := d.keeper.ReadAt(); !at.IsZero() {
 		status.LogAgeMillis = time.Since(at).Milliseconds()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -167,7 +167,7 @@
 		return time.Since(at).Seconds()
 	})
 	d.metrics.gauge("ready", "1 while the instance is ready.", func() float64 {
-		if d.ready() {
+		if d.ready(time.Now()) {
 			return 1
 		}
 		return 0
--- a/internal/daemon/runners.go
+++ b/internal/daemon/runners.go
@@ -19,6 +19,7 @@
 	instancesInterval = 1 * time.Second
 	// statusInterval is how often the instance that polls a runner does so.
 	statusInterval = 1 * time.Second
+	firstLook      = 50 * time.Millisecond
 	// reportPatience is the age of a shared report at which an instance polls
 	// the runner itself.
 	reportPatience = 5 * time.Second
@@ -56,23 +57,27 @@
 	d.batcher.SetLimit(d.settings.AppendsPerSecond / float64(max(1, len(entries))))
 }
 
-// watchRunners polls the runners that fall to this instance.
+// watchRunners polls the runners that fall to this instance. Before it knows
+// any, it looks more often, so that a new instance is ready soon.
 func (d *Daemon) watchRunners(ctx context.Context) {
-	ticker := time.NewTicker(statusInterval)
-	defer ticker.Stop()
 	slots := make(chan struct{}, concurrentPoll)
 	for {
+		interval := statusInterval
+		targets, known := d.toPoll(time.Now())
+		if !known {
+			interval = firstLook
+		}
+		for _, r := range targets {
+			slots <- struct{}{}
+			go func() {
+				defer func() { <-slots }()
+				d.poll(ctx, r)
+			}()
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			for _, r := range d.toPoll(now) {
-				slots <- struct{}{}
-				go func() {
-					defer func() { <-slots }()
-					d.poll(ctx, r)
-				}()
-			}
+		case <-time.After(interval):
 		}
 	}
 }
@@ -83,19 +88,20 @@
 }
 
 // toPoll returns the runners that rendezvous hashing gives to this instance,
-// and those that nobody reported on for too long.
-func (d *Daemon) toPoll(now time.Time) []pollTarget {
+// and those that nobody reported on for too long; known is false while no runner
+// is known at all.
+func (d *Daemon) toPoll(now time.Time) (targets []pollTarget, known bool) {
 	zone := d.mesh.Zone()
-	var targets []pollTarget
 	d.pool.Update(func(f *engine.Fleet) {
 		for _, r := range f.Runners() {
+			known = true
 			own := r.Zone == d.settings.Zone && peer.Preferred(string(r.ID), zone) == d.settings.Instance
 			if own || now.Sub(r.ReportedAt()) > reportPatience {
 				targets = append(targets, pollTarget{id: r.ID, address: r.Address})
 			}
 		}
 	})
-	return targets
+	return targets, known
 }
 
 func (d *Daemon) poll(ctx context.Context, target pollTarget) {
