A call that slept past its key's end never runs

A process paused between that check and its claim for longer than the window would claim a key that every ledger had dropped. Ruled out: keeping keys longer; a pause has no bound. After: the decider looks at the key's end when it claims and when it dispatches; the fixed share of the proof passes with expiry in its histories.

--- a/internal/logservice/claim/call.go
+++ b/internal/logservice/claim/call.go
@@ -130,6 +130,7 @@
 	honoursKeys bool
 	claimBy     time.Time
 	answerBy    time.Time
+	expires     time.Time
 	phase       callPhase
 	// outstanding is set while the claim may still turn up on the log.
 	outstanding bool
@@ -147,13 +148,16 @@
 	// ClaimBy is when to give up the claim, AnswerBy when to give up the call.
 	ClaimBy  time.Time
 	AnswerBy time.Time
+	// Expires is when other instances may start to forget the key. A call that
+	// slept past it must not run: an earlier one may have.
+	Expires time.Time
 }
 
 // NewCall returns the decider of a call. Its first event must be a KeyState.
 func NewCall(config CallConfig) *Call {
 	return &Call{
 		claim: config.Claim, honoursKeys: config.HonoursKeys,
-		claimBy: config.ClaimBy, answerBy: config.AnswerBy,
+		claimBy: config.ClaimBy, answerBy: config.AnswerBy, expires: config.Expires,
 	}
 }
 
@@ -192,6 +196,9 @@
 	if c.phase == callDispatched || c.phase == callReplied {
 		return nil
 	}
+	if !now.Before(c.expires) {
+		return c.tooOld()
+	}
 	if s.Phase != Free && s.Phase != Forgotten && s.Digest != c.claim.Digest {
 		return c.reply(Reply{Answer: AnswerNotRun, AttemptNotRun: true, Code: CodeKeyReused})
 	}
@@ -205,11 +212,15 @@
 	case Lost:
 		return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeOutcomeUnknown})
 	case Forgotten:
-		return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeKeyTooOld})
+		return c.tooOld()
 	}
 	return nil
 }
 
+func (c *Call) tooOld() []Action {
+	return c.reply(Reply{Answer: AnswerUnknown, AttemptNotRun: true, Code: CodeKeyTooOld})
+}
+
 // free claims the key at the start. Later a free key was released, which voids
 // this claim too; the caller comes back with a new attempt. This instance may
 // read the release late, when a newer attempt has run, so only the owner that
@@ -242,6 +253,9 @@
 	if c.phase == callReplied {
 		return c.release()
 	}
+	if !now.Before(c.expires) {
+		return append(c.tooOld(), c.release()...)
+	}
 	if !now.Before(c.claimBy) {
 		return append(c.notRun(CodeLogUnavailable), c.release()...)
 	}
--- a/internal/logservice/claim/ledger.go
+++ b/internal/logservice/claim/ledger.go
@@ -198,7 +198,7 @@
 	return l.resume || now.Sub(l.last) > markInterval
 }
 
-// Expire drops the keys that are too old to be taken.
+// Expire drops the keys that are too old to be taken, by any clock.
 func (l *Ledger) Expire(now time.Time) {
 	oldest := now.Add(-Window - 2*ClockSkew)
 	for key := range l.keys {
--- a/internal/logservice/claim/prove_test.go
+++ b/internal/logservice/claim/prove_test.go
@@ -41,6 +41,7 @@
 		"gaps in the log ignored":           gapsIgnored,
 		"not-run told at another's release": loserTellsNotRun,
 		"not-run told without a claim":      notRunWithoutClaim,
+		"expired key taken":                 expiredKeyTaken,
 		"takeover from a silent owner":      leaseTakeover,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/logservice/claim/record.go
+++ b/internal/logservice/claim/record.go
@@ -109,6 +109,16 @@
 	return time.UnixMilli(millis), true
 }
 
+// Expires returns when instances may start to forget the key; the zero time
+// for a UUID of another version.
+func (k Key) Expires() time.Time {
+	made, ok := k.Time()
+	if !ok {
+		return time.Time{}
+	}
+	return made.Add(Window + ClockSkew)
+}
+
 type wireEntry struct {
 	Kind        uint8     `cbor:"1,keyasint"`
 	Tenant      string    `cbor:"2,keyasint"`
--- a/internal/logservice/claim/tracker.go
+++ b/internal/logservice/claim/tracker.go
@@ -171,6 +171,7 @@
 	d.call = NewCall(CallConfig{
 		Claim: request.Claim, HonoursKeys: request.HonoursKeys,
 		ClaimBy: d.began.Add(claimTimeout), AnswerBy: d.began.Add(request.Timeout),
+		Expires: request.Claim.Key.Expires(),
 	})
 	go d.drive(context.WithoutCancel(ctx))
 	return <-replies
--- a/internal/logservice/claim/world_test.go
+++ b/internal/logservice/claim/world_test.go
@@ -30,6 +30,8 @@
 	notRunWithoutClaim
 	// loserTellsNotRun lets an attempt that waited tell not-run at a release.
 	loserTellsNotRun
+	// expiredKeyTaken claims a key that other instances may have forgotten.
+	expiredKeyTaken
 	// leaseTakeover dispatches a key whose owner is silent for long.
 	leaseTakeover
 )
@@ -130,9 +132,13 @@
 	w := n.world
 	w.calls++
 	c := &simCall{node: n, number: w.calls, key: key, offset: -1, beganWith: n.state(key)}
+	expires := key.Expires()
+	if w.flaw == expiredKeyTaken {
+		expires = w.now.Add(time.Hour)
+	}
 	c.call = NewCall(CallConfig{
 		Claim:   Claim{Key: key, ID: uuid.New(), Incarnation: n.incarnation, Seen: n.ledger.Next()},
-		ClaimBy: w.now.Add(claimTimeout), AnswerBy: w.now.Add(5 * time.Second),
+		ClaimBy: w.now.Add(claimTimeout), AnswerBy: w.now.Add(5 * time.Second), Expires: expires,
 	})
 	n.calls = append(n.calls, c)
 	c.step(KeyState{State: c.beganWith})
@@ -404,7 +410,15 @@
 }
 
 func (w *world) disturb(c prove.Chooser, n *node) {
-	switch c.Choose(5) {
+	switch c.Choose(6) {
+	case 5:
+		// Seldom, since no key runs any more after it.
+		if c.Choose(4) == 0 {
+			w.now = w.now.Add(Window + 4*ClockSkew)
+		}
+		for _, n := range w.nodes {
+			n.ledger.Expire(w.now)
+		}
 	case 0:
 		n.restart()
 	case 1, 2:
