One ejection, one runner of fault matrices

Cause: the fleet and the plain services each had the doubling ejection; four matrices and five lists of planted faults each had their own loops. After: internal/ejection and prove.Matrix, Pairs and Bites serve them all.

--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -133,15 +133,11 @@
 
 // TestProveAdmissionBites shows that the proof fails for wrong variants.
 func TestProveAdmissionBites(t *testing.T) {
-	for name, f := range map[string]flaw{
-		"place of an ended request lost": placeLost,
-		"deadline in the queue ignored":  expiryForgotten,
-		"abandoned request runs":         abandonedRuns,
-	} {
-		t.Run(name, func(t *testing.T) {
-			prove.Catches(t, name, admissionHolds(f))
-		})
-	}
+	prove.Bites(t, map[string]func(prove.Chooser) error{
+		"place of an ended request lost": admissionHolds(placeLost),
+		"deadline in the queue ignored":  admissionHolds(expiryForgotten),
+		"abandoned request runs":         admissionHolds(abandonedRuns),
+	})
 }
 
 // TestFirstRequestOfTenant checks that a tenant that was not seen before has
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -13,6 +13,7 @@
 	"sort"
 	"time"
 
+	"mulberryhead.org/mulberryhead/internal/ejection"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/pkg/environment"
@@ -21,8 +22,6 @@
 const (
 	// loadHalfLife is the age at which a load report counts half.
 	loadHalfLife = 500 * time.Millisecond
-	ejectMin     = 500 * time.Millisecond
-	ejectMax     = 10 * time.Second
 	// remotePenalty keeps a path in the own availability zone wherever that
 	// can serve at all.
 	remotePenalty = time.Hour
@@ -75,8 +74,7 @@
 	// assignedThen how many there were when the report was made.
 	assigned     int
 	assignedThen int
-	failures     int
-	ejected      time.Time
+	ejection     ejection.State
 	// observed is how long a step of one position has taken lately.
 	observed   time.Duration
 	observedAt time.Time
@@ -166,7 +164,7 @@
 	}
 	restarted = r.Report.Incarnation != "" && r.Report.Incarnation != report.Incarnation
 	if restarted {
-		r.failures, r.ejected = 0, time.Time{}
+		r.ejection.Succeeded()
 		r.prefixes = nil
 	}
 	r.Report, r.reported = report, at
@@ -192,22 +190,11 @@
 	}
 }
 
-// Succeeded ends a runner's ejection.
-func (f *Fleet) Succeeded(id runner.ID) {
-	if r, ok := f.runners[id]; ok {
-		r.failures, r.ejected = 0, time.Time{}
-	}
-}
-
-// Failed ejects a runner for a time that doubles with each failure in a row.
+// Failed ejects a runner for a time.
 func (f *Fleet) Failed(now time.Time, id runner.ID) {
-	r, ok := f.runners[id]
-	if !ok {
-		return
+	if r, ok := f.runners[id]; ok {
+		r.ejection.Failed(now)
 	}
-	span := ejectMin << min(r.failures, 10)
-	r.ejected = now.Add(min(span, ejectMax))
-	r.failures++
 }
 
 // Query asks for a path.
@@ -318,7 +305,7 @@
 	if r.Zone != f.zone {
 		cost += remotePenalty
 	}
-	if now.Before(r.ejected) {
+	if r.ejection.Out(now) {
 		cost += ejectedPenalty
 	}
 	return cost
--- a/internal/engine/matrix_test.go
+++ b/internal/engine/matrix_test.go
@@ -2,29 +2,25 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
+	"mulberryhead.org/mulberryhead/internal/prove"
 	"mulberryhead.org/mulberryhead/internal/runner"
 )
 
-// The steps of an answer, by the number of the step that is sent, and the
-// faults that meet it there.
+// The steps of an answer and the faults that meet it there.
 var (
-	matrixSteps = []struct {
-		name   string
-		number int
-	}{
-		{"prefill-first", 0}, {"prefill-last", 1}, {"token-first", 4}, {"token-last", 5}, {"end-first", 8}, {"end-last", 9},
-	}
+	matrixSteps  = []string{"prefill-first", "prefill-last", "token-first", "token-last", "end-first", "end-last"}
 	matrixFaults = []string{
 		"killed", "restarted", "silent", "frozen", "reply-dropped", "reply-repeated", "reply-crossed", "reply-late",
 		"slow", "leaving", "loading", "cancelled",
 	}
+	// stepNumbers says which step that is sent has which name.
+	stepNumbers = map[string]int{
+		"prefill-first": 0, "prefill-last": 1, "token-first": 4, "token-last": 5, "end-first": 8, "end-last": 9,
+	}
 )
 
 // firstChooser always takes the first choice.
@@ -40,12 +36,11 @@
 	faults map[int][]string
 	number int
 	held   []sentReply
-	struck map[string]bool
 }
 
 func runAnswer(faults map[int][]string) *answerRun {
 	w := newWorld(noFlaw)
-	r := &answerRun{w: w, s: w.sessions[0], other: w.sessions[1], faults: faults, struck: map[string]bool{}}
+	r := &answerRun{w: w, s: w.sessions[0], other: w.sessions[1], faults: faults}
 	r.s.act(firstChooser{}, r.s.session.Start())
 	for round := 0; round < 400 && r.s.outcome == nil && !r.s.session.Ended(); round++ {
 		r.round()
@@ -143,42 +138,30 @@
 // TestFaultMatrix meets an answer with every fault at every step and compares
 // what its caller gets with testdata/faults.txt.
 func TestFaultMatrix(t *testing.T) {
-	var rows []string
-	for _, step := range matrixSteps {
-		for _, fault := range matrixFaults {
-			r := runAnswer(map[int][]string{step.number: {fault}})
-			assert.NilError(t, r.s.fault, "%s %s", step.name, fault)
-			rows = append(rows, r.row(step.name, fault))
-		}
-	}
-	want, err := os.ReadFile("testdata/faults.txt")
-	assert.NilError(t, err)
-	assert.Equal(t, strings.Join(rows, "\n"), strings.TrimSpace(string(want)))
+	prove.Matrix(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
 }
 
 // TestFaultPairs meets an answer with every two faults at every two steps: it
 // ends whole, unless its caller has gone, and no token is wrong, missing or
 // repeated.
 func TestFaultPairs(t *testing.T) {
-	pairs := 0
-	for _, one := range matrixSteps {
-		for _, fault1 := range matrixFaults {
-			for _, other := range matrixSteps {
-				for _, fault2 := range matrixFaults {
-					faults := map[int][]string{one.number: {fault1}}
-					if one.number != other.number {
-						faults[other.number] = []string{fault2}
-					}
-					r := runAnswer(faults)
-					assert.NilError(t, r.s.fault, "%s %s, %s %s", one.name, fault1, other.name, fault2)
-					if fault1 != "cancelled" && fault2 != "cancelled" {
-						_, whole := r.s.outcome.(Finish)
-						assert.Assert(t, whole, "%s %s, %s %s: %T", one.name, fault1, other.name, fault2, r.s.outcome)
-					}
-					pairs++
-				}
-			}
+	prove.Pairs(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+}
+
+func matrixScenario(strikes ...prove.Strike) (string, error) {
+	faults := map[int][]string{}
+	cancelled := false
+	for _, s := range strikes {
+		cancelled = cancelled || s.Fault == "cancelled"
+		// Two faults of one step would both answer it; the first one counts.
+		if number := stepNumbers[s.Step]; faults[number] == nil {
+			faults[number] = []string{s.Fault}
 		}
 	}
-	t.Logf("%d pairs of faults", pairs)
+	r := runAnswer(faults)
+	_, whole := r.s.outcome.(Finish)
+	if r.s.fault == nil && !whole && !cancelled {
+		return "", fmt.Errorf("answer ended as %T", r.s.outcome)
+	}
+	return r.row(strikes[0].Step, strikes[0].Fault), r.s.fault
 }
--- a/internal/engine/prove_test.go
+++ b/internal/engine/prove_test.go
@@ -319,15 +319,11 @@
 
 // TestProveAnswersBites shows that the proof fails for wrong variants.
 func TestProveAnswersBites(t *testing.T) {
-	for name, f := range map[string]flaw{
-		"reply of an earlier path taken":     epochUnchecked,
-		"reply for another position taken":   positionUnchecked,
-		"reply of another session taken":     sessionUnchecked,
-		"repeated step runs again":           repeatRunsAgain,
-		"new path starts without last token": resumeLosesToken,
-	} {
-		t.Run(name, func(t *testing.T) {
-			prove.Catches(t, name, answersAreRight(f))
-		})
-	}
+	prove.Bites(t, map[string]func(prove.Chooser) error{
+		"reply of an earlier path taken":     answersAreRight(epochUnchecked),
+		"reply for another position taken":   answersAreRight(positionUnchecked),
+		"reply of another session taken":     answersAreRight(sessionUnchecked),
+		"repeated step runs again":           answersAreRight(repeatRunsAgain),
+		"new path starts without last token": answersAreRight(resumeLosesToken),
+	})
 }
--- a/internal/logservice/claim/prove_test.go
+++ b/internal/logservice/claim/prove_test.go
@@ -35,19 +35,15 @@
 
 // TestProveAtMostOnceBites shows that the proof fails for wrong variants.
 func TestProveAtMostOnceBites(t *testing.T) {
-	for name, f := range map[string]flaw{
-		"dispatch before read-back":         dispatchBeforeReadBack,
-		"lost response taken for unsent":    lostTakenForNotWritten,
-		"gaps in the log ignored":           gapsIgnored,
-		"not-run told at another's release": loserTellsNotRun,
-		"not-run told without a claim":      notRunWithoutClaim,
-		"expired key taken":                 expiredKeyTaken,
-		"takeover from a silent owner":      leaseTakeover,
-	} {
-		t.Run(name, func(t *testing.T) {
-			prove.Catches(t, name, atMostOnce(f))
-		})
-	}
+	prove.Bites(t, map[string]func(prove.Chooser) error{
+		"dispatch before read-back":         atMostOnce(dispatchBeforeReadBack),
+		"lost response taken for unsent":    atMostOnce(lostTakenForNotWritten),
+		"gaps in the log ignored":           atMostOnce(gapsIgnored),
+		"not-run told at another's release": atMostOnce(loserTellsNotRun),
+		"not-run told without a claim":      atMostOnce(notRunWithoutClaim),
+		"expired key taken":                 atMostOnce(expiredKeyTaken),
+		"takeover from a silent owner":      atMostOnce(leaseTakeover),
+	})
 }
 
 // TestReleaseVoidsEarlierAttempts lands the claim of an attempt that began
--- a/internal/logservice/document/matrix_test.go
+++ b/internal/logservice/document/matrix_test.go
@@ -2,42 +2,27 @@
 
 import (
 	"fmt"
-	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
-	"gotest.tools/v3/assert"
 
 	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/prove"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-// strike is a fault at a step of a document's way into force.
-type strike struct {
-	step  string
-	fault string
-}
-
-// strikes returns every fault that can meet every step.
-func strikes() []strike {
-	var list []strike
-	for _, steps := range []struct {
-		names  []string
-		faults []string
-	}{
-		{[]string{"publish", "promote"}, []string{"kill", "pause", "cut-log", "lost-answer", "late-append", "duplicate", "trimmed", "raced"}},
-		{[]string{"publish-verdict", "promote-verdict"}, []string{"kill", "pause", "cut-log", "trimmed"}},
-		{[]string{"checkpoint"}, []string{"kill", "cut-log", "late-append", "duplicate", "trimmed", "raced"}},
-	} {
-		for _, step := range steps.names {
-			for _, fault := range steps.faults {
-				list = append(list, strike{step, fault})
-			}
-		}
-	}
-	return list
+// matrixStrikes returns every fault that can meet every step of a document's
+// way into force.
+func matrixStrikes() []prove.Strike {
+	appends := prove.Strikes([]string{"publish", "promote"},
+		[]string{"kill", "pause", "cut-log", "lost-answer", "late-append", "duplicate", "trimmed", "raced"})
+	verdicts := prove.Strikes([]string{"publish-verdict", "promote-verdict"}, []string{"kill", "pause", "cut-log", "trimmed"})
+	checkpoints := prove.Strikes([]string{"checkpoint"},
+		[]string{"kill", "cut-log", "late-append", "duplicate", "trimmed", "raced"})
+	return slices.Concat(appends, verdicts, checkpoints)
 }
 
 // scenario publishes and promotes one document through an instance that meets
@@ -272,28 +257,15 @@
 // and compares what operators are told and what is in force with
 // testdata/faults.txt.
 func TestFaultMatrix(t *testing.T) {
-	var rows []string
-	for _, one := range strikes() {
-		s := runScenario(map[string][]string{one.step: {one.fault}})
-		assert.NilError(t, s.w.fault, "%v", one)
-		rows = append(rows, s.row(one.step, one.fault))
-	}
-	want, err := os.ReadFile("testdata/faults.txt")
-	assert.NilError(t, err)
-	assert.Equal(t, strings.Join(rows, "\n"), strings.TrimSpace(string(want)))
+	prove.Matrix(t, matrixStrikes(), matrixScenario)
 }
 
 // TestFaultPairs meets a document with every two faults at every two steps.
 func TestFaultPairs(t *testing.T) {
-	pairs := 0
-	for _, one := range strikes() {
-		for _, other := range strikes() {
-			faults := map[string][]string{one.step: {one.fault}}
-			faults[other.step] = append(faults[other.step], other.fault)
-			s := runScenario(faults)
-			assert.NilError(t, s.w.fault, "%v, %v", one, other)
-			pairs++
-		}
-	}
-	t.Logf("%d pairs of faults", pairs)
+	prove.Pairs(t, matrixStrikes(), matrixScenario)
+}
+
+func matrixScenario(strikes ...prove.Strike) (string, error) {
+	s := runScenario(prove.BySteps(strikes))
+	return s.row(strikes[0].Step, strikes[0].Fault), s.w.fault
 }
--- a/internal/logservice/document/prove_test.go
+++ b/internal/logservice/document/prove_test.go
@@ -299,16 +299,12 @@
 
 // TestProveDocumentsBites shows that the proof fails for wrong variants.
 func TestProveDocumentsBites(t *testing.T) {
-	for name, f := range map[string]flaw{
-		"checkpoint overwrites newer":  checkpointOverwrites,
-		"stale checkpoint fills a gap": staleCheckpointTrusted,
-		"gap in the log ignored":       gapIgnored,
-		"promotion judged by digest":   triedByDigest,
-		"part taken for the whole":     partTakenForWhole,
-		"older snapshot adopted":       olderSnapshotAdopted,
-	} {
-		t.Run(name, func(t *testing.T) {
-			prove.Catches(t, name, documentsAgree(f))
-		})
-	}
+	prove.Bites(t, map[string]func(prove.Chooser) error{
+		"checkpoint overwrites newer":  documentsAgree(checkpointOverwrites),
+		"stale checkpoint fills a gap": documentsAgree(staleCheckpointTrusted),
+		"gap in the log ignored":       documentsAgree(gapIgnored),
+		"promotion judged by digest":   documentsAgree(triedByDigest),
+		"part taken for the whole":     documentsAgree(partTakenForWhole),
+		"older snapshot adopted":       documentsAgree(olderSnapshotAdopted),
+	})
 }
--- a/internal/logservice/lease/matrix_test.go
+++ b/internal/logservice/lease/matrix_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"os"
-	"strings"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"mulberryhead.org/mulberryhead/internal/logservice"
+	"mulberryhead.org/mulberryhead/internal/prove"
 )
 
 // The steps of a lease and of an order under it, and the faults that meet them.
@@ -124,35 +121,16 @@
 // TestFaultMatrix meets a lease and its orders with every fault at every step.
 // In the end one node holds the duty and both engines run what documents name.
 func TestFaultMatrix(t *testing.T) {
-	var rows []string
-	for _, step := range matrixSteps {
-		for _, fault := range matrixFaults {
-			s, err := runScenario(map[string][]string{step: {fault}})
-			assert.NilError(t, err, "%s %s", step, fault)
-			rows = append(rows, s.row(step, fault))
-		}
-	}
-	want, err := os.ReadFile("testdata/faults.txt")
-	assert.NilError(t, err)
-	assert.Equal(t, strings.Join(rows, "\n"), strings.TrimSpace(string(want)))
+	prove.Matrix(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
 }
 
 // TestFaultPairs meets a lease and its orders with every two faults at every
 // two steps.
 func TestFaultPairs(t *testing.T) {
-	pairs := 0
-	for _, step1 := range matrixSteps {
-		for _, fault1 := range matrixFaults {
-			for _, step2 := range matrixSteps {
-				for _, fault2 := range matrixFaults {
-					faults := map[string][]string{step1: {fault1}}
-					faults[step2] = append(faults[step2], fault2)
-					_, err := runScenario(faults)
-					assert.NilError(t, err, "%s %s, %s %s", step1, fault1, step2, fault2)
-					pairs++
-				}
-			}
-		}
-	}
-	t.Logf("%d pairs of faults", pairs)
+	prove.Pairs(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+}
+
+func matrixScenario(strikes ...prove.Strike) (string, error) {
+	s, err := runScenario(prove.BySteps(strikes))
+	return s.row(strikes[0].Step, strikes[0].Fault), err
 }
--- a/internal/logservice/lease/prove_test.go
+++ b/internal/logservice/lease/prove_test.go
@@ -280,12 +280,8 @@
 
 // TestProveLeasesBites shows that the proof fails for wrong variants.
 func TestProveLeasesBites(t *testing.T) {
-	for name, f := range map[string]flaw{
-		"any request granted":     anyRequestGranted,
-		"engines never read back": noReadBack,
-	} {
-		t.Run(name, func(t *testing.T) {
-			prove.Catches(t, name, leasesHold(f))
-		})
-	}
+	prove.Bites(t, map[string]func(prove.Chooser) error{
+		"any request granted":     leasesHold(anyRequestGranted),
+		"engines never read back": leasesHold(noReadBack),
+	})
 }
--- a/internal/service/backends.go
+++ b/internal/service/backends.go
@@ -13,15 +13,11 @@
 	"sort"
 	"time"
 
+	"mulberryhead.org/mulberryhead/internal/ejection"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-const (
-	ejectMin = 500 * time.Millisecond
-	ejectMax = 10 * time.Second
-)
-
 // NoBackendError says that no backend server may take the call.
 type NoBackendError struct {
 	Service environment.ServiceName
@@ -35,8 +31,7 @@
 type Backend struct {
 	instancelist.Instance
 	inFlight int
-	failures int
-	ejected  time.Time
+	ejection ejection.State
 }
 
 // Backends is the backend servers of all plain services. It is not safe for
@@ -84,7 +79,7 @@
 }
 
 func (b *Backends) before(now time.Time, x, y *Backend) bool {
-	xOut, yOut := now.Before(x.ejected), now.Before(y.ejected)
+	xOut, yOut := x.ejection.Out(now), y.ejection.Out(now)
 	if xOut != yOut {
 		return yOut
 	}
@@ -97,16 +92,3 @@
 	}
 	return x.ID < y.ID
 }
-
-// Failed ejects a backend server for a time that doubles with each failure in
-// a row.
-func (b *Backend) Failed(now time.Time) {
-	const maxDoublings = 10
-	b.ejected = now.Add(min(ejectMin<<min(b.failures, maxDoublings), ejectMax))
-	b.failures++
-}
-
-// Succeeded ends an ejection.
-func (b *Backend) Succeeded() {
-	b.failures, b.ejected = 0, time.Time{}
-}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -218,11 +218,11 @@
 	backend.inFlight--
 	switch {
 	case err == nil:
-		backend.Succeeded()
+		backend.ejection.Succeeded()
 		c.budget.Succeeded()
 		c.usual += time.Duration(usualWeight * float64(took-c.usual))
 	case !errors.Is(ctx.Err(), context.Canceled):
-		backend.Failed(time.Now())
+		backend.ejection.Failed(time.Now())
 	}
 }
 
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -118,10 +118,10 @@
 		return chosen.ID
 	}
 	assert.Equal(t, choose(), instancelist.ID("near"))
-	b.all["near"].Failed(now)
+	b.all["near"].ejection.Failed(now)
 	assert.Equal(t, choose(), instancelist.ID("far"))
-	b.all["far"].Failed(now)
+	b.all["far"].ejection.Failed(now)
 	assert.Equal(t, choose(), instancelist.ID("near"))
-	now = now.Add(ejectMin)
+	now = now.Add(time.Minute)
 	assert.Equal(t, choose(), instancelist.ID("near"))
 }
