Names of the field in the proofs

Cause: read as a newcomer, the matrices spoke of strikes and bites. After: injections; tests named Catches.

--- a/internal/caller/admission_test.go
+++ b/internal/caller/admission_test.go
@@ -131,9 +131,9 @@
 	prove.Check(t, admissionHolds(noFlaw))
 }
 
-// TestProveAdmissionBites shows that the proof fails for wrong variants.
-func TestProveAdmissionBites(t *testing.T) {
-	prove.Bites(t, map[string]func(prove.Chooser) error{
+// TestProveAdmissionCatches shows that the proof fails for wrong variants.
+func TestProveAdmissionCatches(t *testing.T) {
+	prove.CatchesAll(t, map[string]func(prove.Chooser) error{
 		"place of an ended request lost": admissionHolds(placeLost),
 		"deadline in the queue ignored":  admissionHolds(expiryForgotten),
 		"abandoned request runs":         admissionHolds(abandonedRuns),
--- a/internal/engine/matrix_test.go
+++ b/internal/engine/matrix_test.go
@@ -64,7 +64,7 @@
 	r.number++
 	deliver := true
 	for _, fault := range r.faults[number] {
-		deliver = r.strike(fault, sent) && deliver
+		deliver = r.inject(fault, sent) && deliver
 	}
 	if deliver {
 		r.deliver(sent)
@@ -75,8 +75,8 @@
 	r.s.step(firstChooser{}, StepReplied{From: sent.to.hop.Runner, Reply: sent.to.run(r.w, sent.step)})
 }
 
-// strike lets a fault happen and reports whether the step goes on.
-func (r *answerRun) strike(fault string, sent sentStep) bool {
+// inject lets a fault happen and reports whether the step goes on.
+func (r *answerRun) inject(fault string, sent sentStep) bool {
 	c, id := firstChooser{}, sent.to.hop.Runner
 	refuse := func(status runner.Status) {
 		r.s.step(c, StepReplied{From: id, Reply: runner.Reply{
@@ -138,20 +138,20 @@
 // TestFaultMatrix meets an answer with every fault at every step and compares
 // what its caller gets with testdata/faults.txt.
 func TestFaultMatrix(t *testing.T) {
-	prove.Matrix(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Matrix(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
 // TestFaultPairs meets an answer with every two faults at every two steps: it
 // ends whole, unless its caller has gone, and no token is wrong, missing or
 // repeated.
 func TestFaultPairs(t *testing.T) {
-	prove.Pairs(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Pairs(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
-func matrixScenario(strikes ...prove.Strike) (string, error) {
+func matrixScenario(injections ...prove.Injection) (string, error) {
 	faults := map[int][]string{}
 	cancelled := false
-	for _, s := range strikes {
+	for _, s := range injections {
 		cancelled = cancelled || s.Fault == "cancelled"
 		// Two faults of one step would both answer it; the first one counts.
 		if number := stepNumbers[s.Step]; faults[number] == nil {
@@ -163,5 +163,5 @@
 	if r.s.fault == nil && !whole && !cancelled {
 		return "", fmt.Errorf("answer ended as %T", r.s.outcome)
 	}
-	return r.row(strikes[0].Step, strikes[0].Fault), r.s.fault
+	return r.row(injections[0].Step, injections[0].Fault), r.s.fault
 }
--- a/internal/engine/prove_test.go
+++ b/internal/engine/prove_test.go
@@ -317,9 +317,9 @@
 	prove.Check(t, answersAreRight(noFlaw))
 }
 
-// TestProveAnswersBites shows that the proof fails for wrong variants.
-func TestProveAnswersBites(t *testing.T) {
-	prove.Bites(t, map[string]func(prove.Chooser) error{
+// TestProveAnswersCatches shows that the proof fails for wrong variants.
+func TestProveAnswersCatches(t *testing.T) {
+	prove.CatchesAll(t, map[string]func(prove.Chooser) error{
 		"reply of an earlier path taken":     answersAreRight(epochUnchecked),
 		"reply for another position taken":   answersAreRight(positionUnchecked),
 		"reply of another session taken":     answersAreRight(sessionUnchecked),
--- a/internal/logservice/claim/matrix_test.go
+++ b/internal/logservice/claim/matrix_test.go
@@ -35,7 +35,7 @@
 	for _, step := range s.steps() {
 		ending := appendTaken
 		for _, fault := range faults[step] {
-			ending = max(ending, s.strike(step, fault))
+			ending = max(ending, s.inject(step, fault))
 		}
 		s.take(step, ending)
 	}
@@ -57,8 +57,8 @@
 	return len(s.faults["unwritten"]) > 0 || len(s.faults["release"]) > 0
 }
 
-// strike lets a fault happen and returns how an append at this step ends.
-func (s *scenario) strike(step, fault string) int {
+// inject lets a fault happen and returns how an append at this step ends.
+func (s *scenario) inject(step, fault string) int {
 	w, a := s.w, s.w.nodes[0]
 	switch fault {
 	case "kill":
@@ -198,16 +198,16 @@
 // TestFaultMatrix meets a call with every fault at every step and compares
 // what its callers are told with testdata/faults.txt.
 func TestFaultMatrix(t *testing.T) {
-	prove.Matrix(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Matrix(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
 // TestFaultPairs meets a call with every two faults at every two steps and
 // checks that what ran and what was told agree.
 func TestFaultPairs(t *testing.T) {
-	prove.Pairs(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Pairs(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
-func matrixScenario(strikes ...prove.Strike) (string, error) {
-	s := runScenario(prove.BySteps(strikes))
-	return s.row(strikes[0].Step, strikes[0].Fault), s.w.fault
+func matrixScenario(injections ...prove.Injection) (string, error) {
+	s := runScenario(prove.BySteps(injections))
+	return s.row(injections[0].Step, injections[0].Fault), s.w.fault
 }
--- a/internal/logservice/claim/prove_test.go
+++ b/internal/logservice/claim/prove_test.go
@@ -33,9 +33,9 @@
 	prove.Check(t, atMostOnce(noFlaw))
 }
 
-// TestProveAtMostOnceBites shows that the proof fails for wrong variants.
-func TestProveAtMostOnceBites(t *testing.T) {
-	prove.Bites(t, map[string]func(prove.Chooser) error{
+// TestProveAtMostOnceCatches shows that the proof fails for wrong variants.
+func TestProveAtMostOnceCatches(t *testing.T) {
+	prove.CatchesAll(t, map[string]func(prove.Chooser) error{
 		"dispatch before read-back":         atMostOnce(dispatchBeforeReadBack),
 		"lost response taken for unsent":    atMostOnce(lostTakenForNotWritten),
 		"gaps in the log ignored":           atMostOnce(gapsIgnored),
--- a/internal/logservice/document/matrix_test.go
+++ b/internal/logservice/document/matrix_test.go
@@ -14,13 +14,13 @@
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-// matrixStrikes returns every fault that can meet every step of a document's
+// matrixInjections returns every fault that can meet every step of a document's
 // way into force.
-func matrixStrikes() []prove.Strike {
-	appends := prove.Strikes([]string{"publish", "promote"},
+func matrixInjections() []prove.Injection {
+	appends := prove.Injections([]string{"publish", "promote"},
 		[]string{"kill", "pause", "cut-log", "lost-answer", "late-append", "duplicate", "trimmed", "raced"})
-	verdicts := prove.Strikes([]string{"publish-verdict", "promote-verdict"}, []string{"kill", "pause", "cut-log", "trimmed"})
-	checkpoints := prove.Strikes([]string{"checkpoint"},
+	verdicts := prove.Injections([]string{"publish-verdict", "promote-verdict"}, []string{"kill", "pause", "cut-log", "trimmed"})
+	checkpoints := prove.Injections([]string{"checkpoint"},
 		[]string{"kill", "cut-log", "late-append", "duplicate", "trimmed", "raced"})
 	return slices.Concat(appends, verdicts, checkpoints)
 }
@@ -83,7 +83,7 @@
 	s.drive(step, publisher, p)
 }
 
-// drive runs a publisher to its end; faults strike its first append.
+// drive runs a publisher to its end; its first append meets the faults.
 func (s *scenario) drive(step string, publisher *Publisher, p Publication) {
 	actions := publisher.Start()
 	first := true
@@ -257,15 +257,15 @@
 // and compares what operators are told and what is in force with
 // testdata/faults.txt.
 func TestFaultMatrix(t *testing.T) {
-	prove.Matrix(t, matrixStrikes(), matrixScenario)
+	prove.Matrix(t, matrixInjections(), matrixScenario)
 }
 
 // TestFaultPairs meets a document with every two faults at every two steps.
 func TestFaultPairs(t *testing.T) {
-	prove.Pairs(t, matrixStrikes(), matrixScenario)
+	prove.Pairs(t, matrixInjections(), matrixScenario)
 }
 
-func matrixScenario(strikes ...prove.Strike) (string, error) {
-	s := runScenario(prove.BySteps(strikes))
-	return s.row(strikes[0].Step, strikes[0].Fault), s.w.fault
+func matrixScenario(injections ...prove.Injection) (string, error) {
+	s := runScenario(prove.BySteps(injections))
+	return s.row(injections[0].Step, injections[0].Fault), s.w.fault
 }
--- a/internal/logservice/document/prove_test.go
+++ b/internal/logservice/document/prove_test.go
@@ -297,9 +297,9 @@
 	prove.Check(t, documentsAgree(noFlaw))
 }
 
-// TestProveDocumentsBites shows that the proof fails for wrong variants.
-func TestProveDocumentsBites(t *testing.T) {
-	prove.Bites(t, map[string]func(prove.Chooser) error{
+// TestProveDocumentsCatches shows that the proof fails for wrong variants.
+func TestProveDocumentsCatches(t *testing.T) {
+	prove.CatchesAll(t, map[string]func(prove.Chooser) error{
 		"checkpoint overwrites newer":  documentsAgree(checkpointOverwrites),
 		"stale checkpoint fills a gap": documentsAgree(staleCheckpointTrusted),
 		"gap in the log ignored":       documentsAgree(gapIgnored),
--- a/internal/logservice/lease/matrix_test.go
+++ b/internal/logservice/lease/matrix_test.go
@@ -20,8 +20,8 @@
 type scenario struct {
 	w      *world
 	faults map[string][]string
-	// struck is what the engines ran before all was well again.
-	struck [2]int
+	// injected is what the engines ran before all was well again.
+	injected [2]int
 }
 
 func runScenario(faults map[string][]string) (*scenario, error) {
@@ -36,12 +36,12 @@
 	// The engine that ignores fencing numbers comes first, so that an order that
 	// was held back by a pause meets it.
 	for _, engine := range []int{1, 0} {
-		s.strike("order-decided")
+		s.inject("order-decided")
 		w.act(w.nodes[0], engine)
-		s.strike("order-sent")
+		s.inject("order-sent")
 		w.deliver(w.nodes[0])
 	}
-	s.struck = [2]int{w.engines[0].version, w.engines[1].version}
+	s.injected = [2]int{w.engines[0].version, w.engines[1].version}
 	return s, w.settle()
 }
 
@@ -67,12 +67,12 @@
 	if landed {
 		w.land(r)
 	}
-	s.strike(step)
+	s.inject(step)
 	_ = w.read(w.nodes[0])
 }
 
-// strike lets the faults of a step happen that are not about an append.
-func (s *scenario) strike(step string) {
+// inject lets the faults of a step happen that are not about an append.
+func (s *scenario) inject(step string) {
 	w := s.w
 	for _, fault := range s.faults[step] {
 		switch fault {
@@ -114,23 +114,23 @@
 			holder = fmt.Sprint("node ", i)
 		}
 	}
-	return fmt.Sprintf("%-14s %-12s struck=%d,%d then holder=%s grants=%d engines=%d,%d", step, fault, s.struck[0], s.struck[1],
+	return fmt.Sprintf("%-14s %-12s injected=%d,%d then holder=%s grants=%d engines=%d,%d", step, fault, s.injected[0], s.injected[1],
 		holder, len(s.w.grants), s.w.engines[0].version, s.w.engines[1].version)
 }
 
 // TestFaultMatrix meets a lease and its orders with every fault at every step.
 // In the end one node holds the duty and both engines run what documents name.
 func TestFaultMatrix(t *testing.T) {
-	prove.Matrix(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Matrix(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
 // TestFaultPairs meets a lease and its orders with every two faults at every
 // two steps.
 func TestFaultPairs(t *testing.T) {
-	prove.Pairs(t, prove.Strikes(matrixSteps, matrixFaults), matrixScenario)
+	prove.Pairs(t, prove.Injections(matrixSteps, matrixFaults), matrixScenario)
 }
 
-func matrixScenario(strikes ...prove.Strike) (string, error) {
-	s, err := runScenario(prove.BySteps(strikes))
-	return s.row(strikes[0].Step, strikes[0].Fault), err
+func matrixScenario(injections ...prove.Injection) (string, error) {
+	s, err := runScenario(prove.BySteps(injections))
+	return s.row(injections[0].Step, injections[0].Fault), err
 }
--- a/internal/logservice/lease/prove_test.go
+++ b/internal/logservice/lease/prove_test.go
@@ -278,9 +278,9 @@
 	prove.Check(t, leasesHold(noFlaw))
 }
 
-// TestProveLeasesBites shows that the proof fails for wrong variants.
-func TestProveLeasesBites(t *testing.T) {
-	prove.Bites(t, map[string]func(prove.Chooser) error{
+// TestProveLeasesCatches shows that the proof fails for wrong variants.
+func TestProveLeasesCatches(t *testing.T) {
+	prove.CatchesAll(t, map[string]func(prove.Chooser) error{
 		"any request granted":     leasesHold(anyRequestGranted),
 		"engines never read back": leasesHold(noReadBack),
 	})
--- a/internal/prove/matrix.go
+++ b/internal/prove/matrix.go
@@ -8,27 +8,27 @@
 	"gotest.tools/v3/assert"
 )
 
-// Strike is one fault at one step.
-type Strike struct {
+// Injection is one fault at one step.
+type Injection struct {
 	Step  string
 	Fault string
 }
 
-// Strikes returns every fault at every step.
-func Strikes(steps, faults []string) []Strike {
-	var list []Strike
+// Injections returns every fault at every step.
+func Injections(steps, faults []string) []Injection {
+	var list []Injection
 	for _, step := range steps {
 		for _, fault := range faults {
-			list = append(list, Strike{Step: step, Fault: fault})
+			list = append(list, Injection{Step: step, Fault: fault})
 		}
 	}
 	return list
 }
 
-// BySteps sorts the faults of strikes by their step.
-func BySteps(strikes []Strike) map[string][]string {
+// BySteps sorts the faults of injections by their step.
+func BySteps(injections []Injection) map[string][]string {
 	faults := map[string][]string{}
-	for _, s := range strikes {
+	for _, s := range injections {
 		faults[s.Step] = append(faults[s.Step], s.Fault)
 	}
 	return faults
@@ -36,14 +36,14 @@
 
 // Scenario runs one case of a fault matrix. It returns a line that says how the
 // case ended, and an error when an invariant was broken.
-type Scenario func(strikes ...Strike) (line string, err error)
+type Scenario func(injections ...Injection) (line string, err error)
 
-// Matrix runs a scenario with each strike and compares the lines with the file
+// Matrix runs a scenario with each injection and compares the lines with the file
 // testdata/faults.txt.
-func Matrix(t *testing.T, strikes []Strike, scenario Scenario) {
+func Matrix(t *testing.T, injections []Injection, scenario Scenario) {
 	t.Helper()
 	var lines []string
-	for _, s := range strikes {
+	for _, s := range injections {
 		line, err := scenario(s)
 		assert.NilError(t, err, "%v", s)
 		lines = append(lines, line)
@@ -53,20 +53,20 @@
 	assert.Equal(t, strings.Join(lines, "\n"), strings.TrimSpace(string(want)))
 }
 
-// Pairs runs a scenario with every two strikes.
-func Pairs(t *testing.T, strikes []Strike, scenario Scenario) {
+// Pairs runs a scenario with every two injections.
+func Pairs(t *testing.T, injections []Injection, scenario Scenario) {
 	t.Helper()
-	for _, one := range strikes {
-		for _, other := range strikes {
+	for _, one := range injections {
+		for _, other := range injections {
 			_, err := scenario(one, other)
 			assert.NilError(t, err, "%v, %v", one, other)
 		}
 	}
-	t.Logf("%d pairs of faults", len(strikes)*len(strikes))
+	t.Logf("%d pairs of faults", len(injections)*len(injections))
 }
 
-// Bites runs Catches for each planted fault, by its name.
-func Bites(t *testing.T, proofs map[string]func(Chooser) error) {
+// CatchesAll runs Catches for each planted fault, by its name.
+func CatchesAll(t *testing.T, proofs map[string]func(Chooser) error) {
 	t.Helper()
 	for fault, proof := range proofs {
 		t.Run(fault, func(t *testing.T) {
