A runner that answers is no longer ejected

Before: TestChoose/answers_again_after_its_ejection took the busier runner. After: a step that is answered ends the ejection.

--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -364,7 +364,8 @@
 	}
 }
 
-// Observed takes how long a runner took for a step of one position.
+// Observed takes how long a runner took for a step of one position. Its
+// ejection ends, since it answers.
 func (f *Fleet) Observed(now time.Time, id runner.ID, took time.Duration) {
 	r, ok := f.runners[id]
 	if !ok {
@@ -375,6 +376,7 @@
 	}
 	r.observed += time.Duration(observedWeight * float64(took-r.observed))
 	r.observedAt = now
+	r.ejection.Succeeded()
 }
 
 // backlog is the answers that share a runner: this instance's own, and those
--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -82,6 +82,13 @@
 		"ejected when it is the last": {
 			reports: map[runner.ID]Report{"a": {}}, change: func(f *Fleet) { f.Failed(now, "a") }, want: "a",
 		},
+		"answers again after its ejection": {
+			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 50}},
+			change: func(f *Fleet) {
+				f.Failed(now, "a")
+				f.Observed(now, "a", time.Millisecond)
+			}, want: "a",
+		},
 		"own answers count before the next report": {
 			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 1}},
 			change: func(f *Fleet) {
