--- a/cmd/mulberryhead/experiment.go
+++ b/cmd/mulberryhead/experiment.go
@@ -20,6 +20,7 @@
 
 type fleetCommand struct {
 	Runners   int           `long:"runners" default:"40" description:"runners of four kinds"`
+	Pools     int           `long:"pools" default:"8" description:"entry instances that share the fleet, each with its own view"`
 	Sessions  int           `long:"sessions" default:"4800" description:"answers that run at once; saturation takes about twice the batches of all runners"`
 	MaxTokens int           `long:"max-tokens" default:"64" description:"tokens of each answer"`
 	Warmup    time.Duration `long:"warmup" default:"6s" description:"time before counting"`
@@ -30,7 +31,7 @@
 // Execute runs the throughput experiment.
 func (c *fleetCommand) Execute([]string) error {
 	report, err := experiment.Fleet(context.Background(), experiment.FleetOptions{
-		Runners: c.Runners, Sessions: c.Sessions, MaxTokens: c.MaxTokens, Warmup: c.Warmup, Duration: c.Duration, Seed: c.Seed,
+		Runners: c.Runners, Pools: max(c.Pools, 1), Sessions: c.Sessions, MaxTokens: c.MaxTokens, Warmup: c.Warmup, Duration: c.Duration, Seed: c.Seed,
 	})
 	if err != nil {
 		return err
--- a/internal/engine/driver.go
+++ b/internal/engine/driver.go
@@ -104,9 +104,16 @@
 		d.pool.counts.Dropped++
 		d.pool.mu.Unlock()
 	case ObserveStep:
-		d.pool.Update(func(f *Fleet) { f.Observed(time.Now(), a.Runner, a.Took) })
+		d.pool.mu.Lock()
+		d.pool.fleet.Observed(time.Now(), a.Runner, a.Took)
+		d.pool.repeats.Succeeded()
+		d.pool.mu.Unlock()
 	case ProposeMove:
 		return MoveAnswered{Better: d.betterWithout(a)}
+	case ProposeRepeat:
+		d.pool.mu.Lock()
+		defer d.pool.mu.Unlock()
+		return RepeatAnswered{Allowed: d.pool.repeats.Take()}
 	case Finish:
 		d.pool.mu.Lock()
 		d.pool.suspects.Cleared(d.request.Fingerprint)
@@ -178,12 +185,13 @@
 }
 
 // betterWithout reports whether a path without a runner is predicted to take
-// less than half of what the slow runner alone takes.
+// less than half of what the slow runner alone takes, and the budget allows the
+// move.
 func (d *driver) betterWithout(a ProposeMove) bool {
 	p := d.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	path, err := p.fleet.Choose(time.Now(), Query{
+	path, err := p.fleet.Cheapest(time.Now(), Query{
 		Model: d.request.Model, Version: d.request.Version, Layers: d.request.Layers,
 		Positions: 1, Avoid: a.Avoid,
 	})
@@ -194,7 +202,7 @@
 	for _, hop := range path {
 		total += hop.Expected
 	}
-	return total < a.Took/2
+	return total < a.Took/2 && p.repeats.Take()
 }
 
 func (d *driver) send(ctx context.Context, a SendStep) Event {
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -211,15 +211,15 @@
 	Prefixes []uint64
 }
 
-// cheapest returns the cheapest path: in the own availability zone where that
+// Cheapest returns the cheapest path: in the own availability zone where that
 // covers the layers, and through as few other runners as possible where it
 // doesn't.
-func (f *Fleet) cheapest(now time.Time, q Query, candidates []*Runner) (Path, error) {
+func (f *Fleet) Cheapest(now time.Time, q Query) (Path, error) {
 	best := make([]time.Duration, q.Layers+1)
 	via := make([]*Runner, q.Layers+1)
 	reached := make([]bool, q.Layers+1)
 	reached[0] = true
-	for _, r := range candidates {
+	for _, r := range f.candidates(q) {
 		from, to := r.Report.Range.First, r.Report.Range.End
 		if !reached[from] {
 			continue
@@ -255,7 +255,7 @@
 // load a new version, the old one goes on being served.
 func (f *Fleet) Servable(now time.Time, m environment.Model) environment.ModelVersion {
 	query := Query{Model: m.Name, Version: m.Version, Layers: m.Layers}
-	if _, err := f.Choose(now, query); err == nil {
+	if _, err := f.Cheapest(now, query); err == nil {
 		return m.Version
 	}
 	for _, r := range f.Runners() {
@@ -263,7 +263,7 @@
 		if r.Report.Model != m.Name {
 			continue
 		}
-		if _, err := f.Choose(now, query); err == nil {
+		if _, err := f.Cheapest(now, query); err == nil {
 			return query.Version
 		}
 	}
--- a/internal/engine/matrix_test.go
+++ b/internal/engine/matrix_test.go
@@ -40,6 +40,7 @@
 
 func runAnswer(faults map[int][]string) *answerRun {
 	w := newWorld(noFlaw)
+	w.patient = true
 	r := &answerRun{w: w, s: w.sessions[0], other: w.sessions[1], faults: faults}
 	r.s.act(firstChooser{}, r.s.session.Start())
 	for round := 0; round < 400 && r.s.outcome == nil && !r.s.session.Ended(); round++ {
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -36,6 +36,11 @@
 	Better bool
 }
 
+// RepeatAnswered answers a ProposeRepeat.
+type RepeatAnswered struct {
+	Allowed bool
+}
+
 // Quarantined says that the request must not run again.
 type Quarantined struct{}
 
@@ -59,6 +64,7 @@
 func (Cancelled) isEvent()         {}
 func (Quarantined) isEvent()       {}
 func (MoveAnswered) isEvent()      {}
+func (RepeatAnswered) isEvent()    {}
 
 // Action is something to do for a session.
 type Action interface {
@@ -107,6 +113,10 @@
 	Avoid  map[runner.ID]bool
 }
 
+// ProposeRepeat asks whether a step that has stalled may be sent again, or its
+// runner given up. Both load the runners further, so they come from a budget.
+type ProposeRepeat struct{}
+
 // DropReply counts a reply that belongs to no step under way.
 type DropReply struct {
 	From runner.ID
@@ -131,13 +141,14 @@
 	Reason FailReason
 }
 
-func (ChoosePath) isAction()  {}
-func (SendStep) isAction()    {}
-func (CloseStage) isAction()  {}
-func (Emit) isAction()        {}
-func (BlameRunner) isAction() {}
-func (DropReply) isAction()   {}
-func (ObserveStep) isAction() {}
-func (ProposeMove) isAction() {}
-func (Finish) isAction()      {}
-func (Fail) isAction()        {}
+func (ChoosePath) isAction()    {}
+func (SendStep) isAction()      {}
+func (CloseStage) isAction()    {}
+func (Emit) isAction()          {}
+func (BlameRunner) isAction()   {}
+func (DropReply) isAction()     {}
+func (ObserveStep) isAction()   {}
+func (ProposeMove) isAction()   {}
+func (ProposeRepeat) isAction() {}
+func (Finish) isAction()        {}
+func (Fail) isAction()          {}
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -41,22 +41,22 @@
 
 // Choose returns a path for a query by the fleet's policy.
 func (f *Fleet) Choose(now time.Time, q Query) (Path, error) {
-	candidates := f.candidates(q)
 	switch p := f.policy.(type) {
 	case AnyPath:
-		return f.walk(now, q, candidates, p.Random.IntN)
+		return f.walk(now, q, p.Random.IntN)
 	case NextPath:
-		return f.walk(now, q, candidates, func(n int) int {
+		return f.walk(now, q, func(n int) int {
 			p.turns[n]++
 			return p.turns[n] % n
 		})
 	}
-	return f.cheapest(now, q, candidates)
+	return f.Cheapest(now, q)
 }
 
 // walk goes from range to range and lets pick say which of n runners to take.
-func (f *Fleet) walk(now time.Time, q Query, candidates []*Runner, pick func(n int) int) (Path, error) {
+func (f *Fleet) walk(now time.Time, q Query, pick func(n int) int) (Path, error) {
 	var path Path
+	candidates := f.candidates(q)
 	for at := 0; at < q.Layers; at = path[len(path)-1].Range.End {
 		var open []*Runner
 		for _, r := range candidates {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -12,11 +12,18 @@
 
 	"mulberryhead.org/mulberryhead/internal/hashmodel"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
-const sessionEvents = 64
+const (
+	sessionEvents = 64
+	// repeatShare is the number of repeats and moves earned by one answered
+	// step, repeatReserve what is saved up.
+	repeatShare   = 0.01
+	repeatReserve = 20
+)
 
 // FailedError says that an answer could not be made whole.
 type FailedError struct {
@@ -56,6 +63,7 @@
 	mu       sync.Mutex
 	fleet    *Fleet
 	suspects *Suspects
+	repeats  *retrybudget.Budget
 	notify   func(request Fingerprint, incarnation string)
 	streams  map[runner.ID]*runner.Stream
 	sessions map[runner.SessionID]*running
@@ -79,6 +87,7 @@
 		status:   NewStatusClient(),
 		fleet:    NewFleet(zone),
 		suspects: NewSuspects(),
+		repeats:  retrybudget.New(repeatShare, repeatReserve),
 		notify:   func(Fingerprint, string) {},
 		streams:  map[runner.ID]*runner.Stream{},
 		sessions: map[runner.SessionID]*running{},
--- a/internal/engine/prove_test.go
+++ b/internal/engine/prove_test.go
@@ -49,6 +49,8 @@
 	steps    []sentStep
 	replies  []sentReply
 	trace    []string
+	// patient allows every repeat.
+	patient bool
 }
 
 type sentStep struct {
@@ -138,6 +140,8 @@
 			s.world.steps = append(s.world.steps, sentStep{to: s.world.runner(a.Hop.Runner), step: a.Step})
 		case ProposeMove:
 			s.step(c, MoveAnswered{Better: c.Choose(2) == 0})
+		case ProposeRepeat:
+			s.step(c, RepeatAnswered{Allowed: c.Choose(3) > 0 || s.world.patient})
 		case Emit:
 			s.emitted(a.Token)
 		case Finish, Fail:
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -113,6 +113,8 @@
 		return s.tick(now)
 	case Cancelled:
 		return s.end()
+	case RepeatAnswered:
+		return s.repeatAnswered(now, e.Allowed)
 	case MoveAnswered:
 		return s.moveAnswered(now, e.Better)
 	case Quarantined:
@@ -316,7 +318,22 @@
 	if s.due.IsZero() || now.Before(s.due) {
 		return nil
 	}
-	if !s.resent {
+	return []Action{ProposeRepeat{}}
+}
+
+// repeatAnswered sends a stalled step again, and gives its runner up when it
+// stalls once more. Where the budget doesn't allow it, everything is slow, and
+// the session waits for twice as long as before: its runner is alive, or its
+// stream would have ended.
+func (s *Session) repeatAnswered(now time.Time, allowed bool) []Action {
+	if s.due.IsZero() || now.Before(s.due) {
+		return nil
+	}
+	switch {
+	case !allowed:
+		s.due = now.Add(2 * s.due.Sub(s.sent))
+		return nil
+	case !s.resent:
 		return []Action{s.send(now, s.step, true)}
 	}
 	return s.unreachable(s.path[s.hop].Runner)
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -34,7 +34,7 @@
 	fleetZone     = "zone-a"
 	engineBatch   = 64
 	headerTimeout = 5 * time.Second
-	statusEvery   = 250 * time.Millisecond
+	statusEvery   = time.Second
 )
 
 // kind is a kind of accelerator with its link.
@@ -59,7 +59,9 @@
 
 // FleetOptions describes a throughput experiment.
 type FleetOptions struct {
-	Runners   int
+	Runners int
+	// Pools is the number of entry instances that share the fleet.
+	Pools     int
 	Sessions  int
 	MaxTokens int
 	Warmup    time.Duration
@@ -85,7 +87,7 @@
 // WriteText writes the report for a reader.
 func (r *FleetReport) WriteText(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintf(table, "runners %d\tsessions %d\tbound %.0f tokens/s\n", r.Options.Runners, r.Options.Sessions, r.Bound)
+	_, _ = fmt.Fprintf(table, "runners %d\tpools %d\tsessions %d\tbound %.0f tokens/s\n", r.Options.Runners, r.Options.Pools, r.Options.Sessions, r.Bound)
 	for _, result := range r.Results {
 		_, _ = fmt.Fprintf(table, "%s\t%.0f tokens/s\t%.3f of the bound\twrong %d\tfailed %d\n",
 			result.Policy, result.TokensPerSecond, result.TokensPerSecond/r.Bound, result.Wrong, result.Failed)
@@ -145,12 +147,12 @@
 func Fleet(ctx context.Context, o FleetOptions) (*FleetReport, error) {
 	report := &FleetReport{Options: o}
 	policies := []struct {
-		name   string
-		policy engine.Policy
+		name string
+		make func() engine.Policy
 	}{
-		{"cheapest", engine.Cheapest{}},
-		{"random", engine.AnyPath{Random: rand.New(rand.NewPCG(o.Seed, 1))}},
-		{"round-robin", engine.NewNextPath()},
+		{"cheapest", func() engine.Policy { return engine.Cheapest{} }},
+		{"random", func() engine.Policy { return engine.AnyPath{Random: rand.New(rand.NewPCG(o.Seed, rand.Uint64()))} }},
+		{"round-robin", func() engine.Policy { return engine.NewNextPath() }},
 	}
 	for _, p := range policies {
 		f, err := startFleet(o)
@@ -158,7 +160,7 @@
 			return nil, err
 		}
 		report.Bound = f.bound
-		result := saturate(ctx, f, p.policy, o)
+		result := saturate(ctx, f, p.make, o)
 		result.Policy = p.name
 		report.Results = append(report.Results, result)
 		f.close()
@@ -168,21 +170,10 @@
 
 // saturate keeps a fixed number of sessions running and counts the tokens
 // after the warm-up.
-func saturate(ctx context.Context, f *fleet, policy engine.Policy, o FleetOptions) FleetResult {
+func saturate(ctx context.Context, f *fleet, policy func() engine.Policy, o FleetOptions) FleetResult {
 	ctx, cancel := context.WithTimeout(ctx, o.Warmup+o.Duration)
 	defer cancel()
-	pool := engine.NewPool(fleetZone)
-	pool.Update(func(fleet *engine.Fleet) {
-		fleet.SetInstances(f.instances)
-		fleet.SetPolicy(policy)
-	})
-	poll(ctx, pool, f)
-	go func() {
-		for ctx.Err() == nil {
-			poll(ctx, pool, f)
-			time.Sleep(statusEvery)
-		}
-	}()
+	pools := startPools(ctx, f, policy, o.Pools)
 	var result FleetResult
 	var tokens atomic.Int64
 	began := time.Now()
@@ -193,7 +184,7 @@
 		go func() {
 			defer running.Done()
 			for n := 0; ctx.Err() == nil; n++ {
-				answer(ctx, pool, fmt.Sprintf("session %d answer %d of a long day", i, n), o.MaxTokens, &result, func() {
+				answer(ctx, pools[i%len(pools)], fmt.Sprintf("session %d answer %d of a long day", i, n), o.MaxTokens, &result, func() {
 					if counting() {
 						tokens.Add(1)
 					}
@@ -206,6 +197,28 @@
 	return result
 }
 
+// startPools returns the pools of entry instances, each with its own view of the
+// fleet.
+func startPools(ctx context.Context, f *fleet, policy func() engine.Policy, count int) []*engine.Pool {
+	var pools []*engine.Pool
+	for range count {
+		pool := engine.NewPool(fleetZone)
+		pool.Update(func(fleet *engine.Fleet) {
+			fleet.SetInstances(f.instances)
+			fleet.SetPolicy(policy())
+		})
+		poll(ctx, pool, f)
+		go func() {
+			for ctx.Err() == nil {
+				poll(ctx, pool, f)
+				time.Sleep(statusEvery)
+			}
+		}()
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
 func poll(ctx context.Context, pool *engine.Pool, f *fleet) {
 	client := engine.NewStatusClient()
 	for _, i := range f.instances {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -14,6 +14,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 )
 
@@ -25,6 +26,10 @@
 	maxRecordedBody = 8 << 10
 	idempotencyKey  = "Idempotency-Key"
 
+	// retryShare is the number of retries earned by one success, retryReserve
+	// what is saved up.
+	retryShare   = 0.1
+	retryReserve = 10
 	// maxAttempts bounds the tries of one idempotent call.
 	maxAttempts = 3
 	// A call is hedged after hedgeFactor times what calls usually take.
@@ -82,7 +87,7 @@
 
 	mu       sync.Mutex
 	backends *Backends
-	budget   *RetryBudget
+	budget   *retrybudget.Budget
 	// usual is how long a call takes, averaged over the latest.
 	usual  time.Duration
 	counts Counts
@@ -94,7 +99,7 @@
 		pooled:   &http.Client{Transport: transport(false), CheckRedirect: keepRedirect},
 		fresh:    &http.Client{Transport: transport(true), CheckRedirect: keepRedirect},
 		backends: NewBackends(zone),
-		budget:   NewRetryBudget(),
+		budget:   retrybudget.New(retryShare, retryReserve),
 	}
 }
 
--- a/internal/service/client_test.go
+++ b/internal/service/client_test.go
@@ -14,6 +14,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice/claim"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 )
 
 // backendsOf starts one backend server for each handler, and a client that
@@ -74,11 +75,11 @@
 func TestNoRetryStorm(t *testing.T) {
 	const calls = 400
 	for name, test := range map[string]struct {
-		budget *RetryBudget
+		budget *retrybudget.Budget
 		limit  float64
 	}{
-		"with the budget":    {NewRetryBudget(), 1.1},
-		"without the budget": {&RetryBudget{tokens: 1e9}, 3.1},
+		"with the budget":    {retrybudget.New(retryShare, retryReserve), 1.1},
+		"without the budget": {retrybudget.New(1, 1e9), 3.1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var reached atomic.Int64
