--- a/internal/daemon/runners.go
+++ b/internal/daemon/runners.go
@@ -50,7 +50,11 @@
 	services := d.view.Of(instancelist.Service)
 	entries := d.view.Of(instancelist.Entry)
 	d.mu.Unlock()
-	d.pool.Update(func(f *engine.Fleet) { f.SetInstances(engines) })
+	inZone, _ := d.entryCounts()
+	d.pool.Update(func(f *engine.Fleet) {
+		f.SetInstances(engines)
+		f.SetSharing(inZone)
+	})
 	d.services.SetInstances(services)
 	d.mesh.SetInstances(now, entries)
 	// Every instance takes an equal part of what the log service allows.
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -110,11 +110,13 @@
 	zone    instancelist.AvailabilityZone
 	runners map[runner.ID]*Runner
 	policy  Policy
+	// sharing is the number of instances that use the fleet, this one included.
+	sharing int
 }
 
 // NewFleet returns an empty fleet seen from an availability zone.
 func NewFleet(zone instancelist.AvailabilityZone) *Fleet {
-	return &Fleet{zone: zone, runners: map[runner.ID]*Runner{}, policy: Cheapest{}}
+	return &Fleet{zone: zone, runners: map[runner.ID]*Runner{}, policy: Cheapest{}, sharing: 1}
 }
 
 // SetInstances takes the engines of the instance list. What is known of those
@@ -138,6 +140,12 @@
 	}
 }
 
+// SetSharing sets the number of instances that use the fleet, this one
+// included.
+func (f *Fleet) SetSharing(instances int) {
+	f.sharing = max(instances, 1)
+}
+
 // Runners returns all runners, sorted by id.
 func (f *Fleet) Runners() []*Runner {
 	list := make([]*Runner, 0, len(f.runners))
@@ -386,8 +394,11 @@
 func (f *Fleet) backlog(now time.Time, r *Runner) float64 {
 	age := now.Sub(r.reported)
 	weight := float64(loadHalfLife) / float64(loadHalfLife+max(age, 0))
-	others := max(r.Report.Sessions-r.assignedThen, 0)
-	return float64(others)*weight + float64(r.assigned)
+	others := float64(max(r.Report.Sessions-r.assignedThen, 0)) * weight
+	// A balancer gives every instance about the same work, so until reports
+	// say more the others are taken to have as much here as this one.
+	alike := float64(r.assigned * (f.sharing - 1))
+	return max(others, alike) + float64(r.assigned)
 }
 
 // ReportedAt returns when the newest report was made, zero before the first.
--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -97,6 +97,29 @@
 				}
 			}, want: "b",
 		},
+		"others are taken to send as much": {
+			reports: map[runner.ID]Report{
+				"a": {BatchCost: 10 * time.Millisecond, PositionCost: time.Millisecond},
+				"b": {BatchCost: 30 * time.Millisecond, PositionCost: time.Millisecond},
+			},
+			change: func(f *Fleet) {
+				f.SetSharing(8)
+				for range 3 {
+					f.Assign(Path{{Runner: "a"}})
+				}
+			}, want: "b",
+		},
+		"few answers of one instance alone": {
+			reports: map[runner.ID]Report{
+				"a": {BatchCost: 10 * time.Millisecond, PositionCost: time.Millisecond},
+				"b": {BatchCost: 30 * time.Millisecond, PositionCost: time.Millisecond},
+			},
+			change: func(f *Fleet) {
+				for range 3 {
+					f.Assign(Path{{Runner: "a"}})
+				}
+			}, want: "a",
+		},
 		"seen to be slow": {
 			reports: map[runner.ID]Report{"a": {}, "b": {Sessions: 5}},
 			change:  func(f *Fleet) { f.Observed(now, "a", 200*time.Millisecond) }, want: "b",
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -206,6 +206,7 @@
 		pool.Update(func(fleet *engine.Fleet) {
 			fleet.SetInstances(f.instances)
 			fleet.SetPolicy(policy())
+			fleet.SetSharing(count)
 		})
 		poll(ctx, pool, f)
 		go func() {
