The engine stand-in publishes cache events, late and with gaps

After: GET /v1/cache-events with a lag and gaps by switch. The router doesn't read them yet; its affinity rests on what it sent (docs/PROOFS.md).

--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -163,21 +163,19 @@
 }
 
 // Reported takes what a runner said at a time. A report older than the one
-// held is dropped. It reports whether the runner is another process than
-// before.
-func (f *Fleet) Reported(at time.Time, id runner.ID, report Report) (restarted bool) {
+// held is dropped.
+func (f *Fleet) Reported(at time.Time, id runner.ID, report Report) {
 	r, ok := f.runners[id]
 	if !ok || at.Before(r.reported) {
-		return false
+		return
 	}
-	restarted = r.Report.Incarnation != "" && r.Report.Incarnation != report.Incarnation
-	if restarted {
+	if r.Report.Incarnation != "" && r.Report.Incarnation != report.Incarnation {
+		// Another process: what was known of the old one says nothing.
 		r.ejection.Succeeded()
 		r.prefixes = nil
 	}
 	r.Report, r.reported = report, at
 	r.assignedThen = r.assigned
-	return restarted
 }
 
 // Assign counts an answer that takes a path.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -61,6 +61,10 @@
 	DropReplies int `json:"drop-replies"`
 	// LoadLagMillis is the age of the load that is reported.
 	LoadLagMillis int `json:"load-lag-millis"`
+	// CacheEventLagMillis is the age at which cache events are published, and
+	// every CacheEventGap-th is never, if above 0.
+	CacheEventLagMillis int `json:"cache-event-lag-millis"`
+	CacheEventGap       int `json:"cache-event-gap"`
 	// LinkDelayMillis is added to each reply.
 	LinkDelayMillis int `json:"link-delay-millis"`
 	// Leaving makes the engine refuse new sessions.
@@ -104,6 +108,7 @@
 	queue    []job
 	sessions map[sessionKey]*stageSession
 	prefixes map[uint64]struct{}
+	cache    cacheEvents
 	conns    map[*engineConn]struct{}
 	history  []loadSample
 	steps    uint64
@@ -163,6 +168,7 @@
 	r.HandleFunc("/v1/step", e.serveStep).Methods(http.MethodPost)
 	r.HandleFunc("/v1/status", e.serveStatus).Methods(http.MethodGet)
 	r.HandleFunc("/v1/orders", e.serveOrder).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cache-events", e.serveCacheEvents).Methods(http.MethodGet)
 	return r
 }
 
@@ -337,17 +343,28 @@
 		if _, ok := e.prefixes[h]; ok && cached == i*prefixBlock {
 			cached += prefixBlock
 		}
-		if len(e.prefixes) >= prefixCacheSize {
-			for old := range e.prefixes {
-				delete(e.prefixes, old)
-				break
-			}
-		}
-		e.prefixes[h] = struct{}{}
+		e.keepPrefix(h, time.Now())
 	}
 	return step.Count() - cached
 }
 
+// keepPrefix puts a block into the prefix cache, in place of another when it is
+// full.
+func (e *Engine) keepPrefix(block uint64, now time.Time) {
+	if _, ok := e.prefixes[block]; ok {
+		return
+	}
+	if len(e.prefixes) >= prefixCacheSize {
+		for old := range e.prefixes {
+			delete(e.prefixes, old)
+			e.cache.add(now, old, true)
+			break
+		}
+	}
+	e.prefixes[block] = struct{}{}
+	e.cache.add(now, block, false)
+}
+
 func (e *Engine) run(step *runner.Step, now time.Time) (runner.Reply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
