--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -155,7 +155,7 @@
 		replacer := strings.NewReplacer(
 			"{key}", testKey, "{fresh}", uuid.Must(uuid.NewV7()).String(),
 			"{old}", "01863b2c-0000-7000-8000-000000000000", "{future}", "7fffffff-0000-7000-8000-000000000000",
-			"{long}", strings.Repeat("x", MaxBodyBytes+1),
+			"{long}", strings.Repeat("x", MaxBodyBytes+1), "{header}", strings.Repeat("x", MaxHeaderBytes+1),
 		)
 		for i := 0; i+1 < len(files); i += 2 {
 			answer := d.send(t, replacer.Replace(string(files[i])))
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -19,6 +19,7 @@
 	CodeForbidden            Code = "forbidden"
 	CodeMalformed            Code = "malformed-request"
 	CodeTooLarge             Code = "request-too-large"
+	CodeHeaderTooLarge       Code = "header-too-large"
 	CodeUnknownModel         Code = "unknown-model"
 	CodeUnknownService       Code = "unknown-service"
 	CodeUnknownMethod        Code = "unknown-operation"
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -33,6 +33,8 @@
 	MaxBodyBytes = 1 << 20
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes = 16 << 10
+	// HardHeaderBytes is where the connection is cut without a problem.
+	HardHeaderBytes = 4 * MaxHeaderBytes
 	// HeaderTimeout bounds how long a request's header may take to come in.
 	HeaderTimeout = 5 * time.Second
 	// DefaultBodyTimeout is the bound that a daemon sets for a body.
@@ -213,7 +215,10 @@
 			return
 		}
 		defer s.exit()
-		problem := s.authenticate(c)
+		problem := checkHeader(r)
+		if problem == nil {
+			problem = s.authenticate(c)
+		}
 		if problem == nil {
 			problem = handle(c)
 		}
@@ -247,6 +252,21 @@
 	s.busy.Done()
 }
 
+func checkHeader(r *http.Request) *ProblemError {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size <= MaxHeaderBytes {
+		return nil
+	}
+	return &ProblemError{
+		Status: http.StatusRequestHeaderFieldsTooLarge, Code: CodeHeaderTooLarge, Detail: "the header is over 16 KiB",
+	}
+}
+
 func (s *Server) authenticate(c *call) *ProblemError {
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,7 +159,7 @@
 	}
 	l.address = socket.Addr().String()
 	l.server = &http.Server{
-		Handler: l.handler, ReadHeaderTimeout: caller.HeaderTimeout, MaxHeaderBytes: caller.MaxHeaderBytes,
+		Handler: l.handler, ReadHeaderTimeout: caller.HeaderTimeout, MaxHeaderBytes: caller.HardHeaderBytes,
 		IdleTimeout: time.Minute,
 	}
 	go func() {
