One instance writes a checkpoint, as the capacity page says

Cause: reading the whole change once more, a search for what nobody calls found Keeper.SetRank. Every instance had rank 0, so all of them wrote a checkpoint in the same moment. That did no harm to the state, and cost as many records as there are instances; docs/CAPACITY.md already counted one. Ruled out: dropping the rank; the page's figure rests on it. After: the rank is the number of staying instances with a smaller id (TestRank). View.Age and Report.Quantile, which nobody called, are gone.

--- a/internal/daemon/runners.go
+++ b/internal/daemon/runners.go
@@ -45,7 +45,7 @@
 
 func (d *Daemon) setInstances(now time.Time, list []instancelist.Instance) {
 	d.mu.Lock()
-	d.view.Update(now, list)
+	d.view.Update(list)
 	engines := d.view.Of(instancelist.Engine)
 	services := d.view.Of(instancelist.Service)
 	entries := d.view.Of(instancelist.Entry)
@@ -57,10 +57,22 @@
 	})
 	d.services.SetInstances(services)
 	d.mesh.SetInstances(now, entries)
+	d.keeper.SetRank(rank(d.settings.Instance, entries))
 	// Every instance takes an equal part of what the log service allows.
 	d.batcher.SetLimit(d.settings.AppendsPerSecond / float64(max(1, len(entries))))
 }
 
+// rank returns how many of the instances that stay come before one, by id.
+func rank(self instancelist.ID, entries []instancelist.Instance) int {
+	before := 0
+	for _, i := range entries {
+		if i.ID < self && !i.Leaving {
+			before++
+		}
+	}
+	return before
+}
+
 // watchRunners polls the runners that fall to this instance. Before it knows
 // any, it looks more often, so that a new instance is ready soon.
 func (d *Daemon) watchRunners(ctx context.Context) {
--- a/internal/daemon/share_test.go
+++ b/internal/daemon/share_test.go
@@ -85,3 +85,11 @@
 		assert.Equal(t, deltas, test.deltas)
 	}
 }
+
+// TestRank orders the writers of checkpoints: no two that stay share a rank.
+func TestRank(t *testing.T) {
+	entries := []instancelist.Instance{{ID: "a", Leaving: true}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	for want, self := range []instancelist.ID{"b", "c", "d"} {
+		assert.Equal(t, rank(self, entries), want)
+	}
+}
--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -132,7 +132,6 @@
 // View is the newest list that was read.
 type View struct {
 	instances map[ID]Instance
-	updated   time.Time
 }
 
 // NewView returns an empty view.
@@ -141,20 +140,11 @@
 }
 
 // Update replaces the list. An instance that is no longer listed is gone.
-func (v *View) Update(now time.Time, list []Instance) {
+func (v *View) Update(list []Instance) {
 	v.instances = make(map[ID]Instance, len(list))
 	for _, i := range list {
 		v.instances[i.ID] = i
 	}
-	v.updated = now
-}
-
-// Age returns how old the list is, and false if none was ever read.
-func (v *View) Age(now time.Time) (time.Duration, bool) {
-	if v.updated.IsZero() {
-		return 0, false
-	}
-	return now.Sub(v.updated), true
 }
 
 // Of returns the instances of a kind, sorted by id.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -115,18 +115,6 @@
 	return outcomes
 }
 
-// Quantile returns a quantile, 0 to 100, of one of the times; 0 if there is
-// none.
-func (r *Report) Quantile(name string, quantile float64) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	h, ok := r.times[name]
-	if !ok {
-		return 0
-	}
-	return time.Duration(h.ValueAtQuantile(quantile)) * time.Microsecond
-}
-
 // TokensPerSecond returns the rate of tokens over the whole load.
 func (r *Report) TokensPerSecond() float64 {
 	r.mu.Lock()
