Room moves towards a gap among full servers

Cause: layers moved between neighbours only where the weaker of the two gained by it, so a gap whose neighbours were full, and theirs too, kept a layer that nobody held although a server further along had room. Two more cases of the same kind were found by a new random test, TestPlanFillsWhatFits (several losses, orders that take their time): only the first gap was looked at, and servers whose layers others hold too were not used. Change: while layers are missing, all moves serve the gap (shift.go): a server with room takes layers of the one nearer to the gap, that one gives them up and then has room itself. Room only ever moves towards the gap, so the moves end. Each gap is tried; a server whose layers are all held by others moves to the gap. Ruled out: relaxing takeOver's condition (it moves layers back in the next round).

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sort"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -50,8 +49,15 @@
 }
 
 // evenOut moves the boundaries between neighbours: first between those that hold
-// some of the same layers, then between the others.
+// some of the same layers, then between the others. While layers are missing, all
+// moves serve the gap instead.
 func (s *state) evenOut() {
+	if gaps := s.gaps(); len(gaps) > 0 {
+		for _, gap := range gaps {
+			s.makeRoom(gap)
+		}
+		return
+	}
 	order := s.chain()
 	for _, change := range s.changes {
 		s.touched[change.ID] = true
@@ -106,14 +112,8 @@
 	return best, bestSpare
 }
 
-// enough is the memory for requests with which a server is left as it is. While
-// layers are missing, none has enough: a neighbour of the gap needs room first.
-func (s *state) enough() float64 {
-	if _, found := s.gap(); found {
-		return math.Inf(1)
-	}
-	return weakShare * s.goal
-}
+// enough is the memory for requests with which a server is left as it is.
+func (s *state) enough() float64 { return weakShare * s.goal }
 
 // settle lets two servers that hold some of the same layers give up their part of
 // them. It reports whether the two were changed.
@@ -143,16 +143,12 @@
 	if l.Layers.End != r.Layers.First || l.Fixed || r.Fixed {
 		return false
 	}
-	share, worth := usualShare, worthMoving
-	if _, found := s.gap(); found {
-		share, worth = urgentShare, 1
-	}
-	low := min(l.Layers.End, r.Layers.End-s.room(r, share))
-	high := max(l.Layers.End, l.Layers.First+s.room(l, share))
+	low := min(l.Layers.End, r.Layers.End-s.room(r, usualShare))
+	high := max(l.Layers.End, l.Layers.First+s.room(l, usualShare))
 	at, spare := s.boundary(left, right, l.Layers.First, low, high, r.Layers.End)
 	now := min(s.spareNow(left), s.spareNow(right))
 	switch {
-	case at < 0 || now >= s.enough() || spare <= now*worth || at == l.Layers.End:
+	case at < 0 || now >= s.enough() || spare <= now*worthMoving || at == l.Layers.End:
 		return false
 	case at > l.Layers.End:
 		s.set(left, deployment.LayerRange{First: l.Layers.First, End: at})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -224,10 +224,11 @@
 	return copies
 }
 
-// gap returns the first range of layers that no server holds.
-func (s *state) gap() (deployment.LayerRange, bool) {
+// gaps returns the ranges of layers that no server holds.
+func (s *state) gaps() []deployment.LayerRange {
+	var gaps []deployment.LayerRange
 	copies := s.copies()
-	for first := range copies {
+	for first := 0; first < len(copies); first++ {
 		if copies[first] > 0 {
 			continue
 		}
@@ -235,22 +236,25 @@
 		for end < len(copies) && copies[end] == 0 {
 			end++
 		}
-		return deployment.LayerRange{First: first, End: end}, true
+		gaps = append(gaps, deployment.LayerRange{First: first, End: end})
+		first = end
 	}
-	return deployment.LayerRange{}, false
+	return gaps
 }
 
 func (s *state) fillGaps() {
-	for {
-		gap, found := s.gap()
-		if !found {
-			return
-		}
-		if s.fillWithEmpty(gap) || s.fillWithNeighbours(gap) {
-			continue
+	for s.fillOne() {
+	}
+}
+
+// fillOne covers the first gap that can be covered, or a part of it.
+func (s *state) fillOne() bool {
+	for _, gap := range s.gaps() {
+		if s.fillWithEmpty(gap) || s.fillWithNeighbours(gap) || s.fillWithRedundant(gap) {
+			return true
 		}
-		return
 	}
+	return false
 }
 
 // fillWithEmpty covers a gap, or its begin, with servers that hold nothing: with
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -143,3 +143,78 @@
 	}
 	assert.Equal(t, uncovered(servers), 0)
 }
+
+// orders are changes under way: each takes some rounds, in which its server still
+// holds its old layers and is planned with its new ones, as the orderer does.
+type orders map[deployment.BackendID]*order
+
+type order struct {
+	layers deployment.LayerRange
+	rounds int
+}
+
+func (o orders) view(servers []Server) []Server {
+	seen := append([]Server(nil), servers...)
+	for i := range seen {
+		if order := o[seen[i].ID]; order != nil {
+			seen[i].Layers = order.layers
+			seen[i].Fixed = true
+		}
+	}
+	return seen
+}
+
+func (o orders) pass(servers []Server) {
+	for id, order := range o {
+		order.rounds--
+		if order.rounds <= 0 {
+			apply(servers, []Change{{ID: id, Layers: order.layers}})
+			delete(o, id)
+		}
+	}
+}
+
+// roomFor tells whether servers can hold all layers with one to spare for each of
+// them, by the share of memory that layers may take where some are missing.
+func roomFor(servers []Server) bool {
+	s := &state{engine: testEngine(), servers: servers}
+	room := 0
+	for _, server := range servers {
+		room += s.room(server, urgentShare) - 1
+	}
+	return room >= testEngine().Layers
+}
+
+// TestPlanFillsWhatFits loses servers of a whole replica, several at a time, while
+// orders take their time. Where all layers fit, they are all held again in the end.
+func TestPlanFillsWhatFits(t *testing.T) {
+	prove.Random(t, func(t *rapid.T) {
+		servers := zone(t)
+		apply(servers, Plan(testEngine(), servers))
+		for range rapid.IntRange(1, 6).Draw(t, "losses") {
+			lost := rapid.IntRange(0, len(servers)-1).Draw(t, "lost")
+			rest := append(append([]Server(nil), servers[:lost]...), servers[lost+1:]...)
+			if roomFor(rest) {
+				servers = rest
+			}
+		}
+		underWay := orders{}
+		const mostRounds = 2000
+		for round := 0; round < mostRounds; round++ {
+			changes := Plan(testEngine(), underWay.view(servers))
+			if len(changes) == 0 && len(underWay) == 0 {
+				break
+			}
+			for _, change := range changes {
+				assert.Assert(t, underWay[change.ID] == nil, "%s has an order already", change.ID)
+				rounds := rapid.IntRange(1, 3).Draw(t, "rounds")
+				underWay[change.ID] = &order{layers: change.Layers, rounds: rounds}
+			}
+			before := uncovered(servers)
+			underWay.pass(servers)
+			assert.Assert(t, uncovered(servers) <= before, "the last copy of a layer is taken away")
+		}
+		assert.Equal(t, len(underWay), 0, "the plan does not come to rest")
+		assert.Equal(t, uncovered(servers), 0, "%v", servers)
+	})
+}
