Peers are found by the settings' seeds too

Cause: an instance that starts while the store is away, or turns it away, knew no peer, as the list for peers was the only way to them; so it had no configuration and no list, though instances beside it had both. Change: the role serves the address for instances alone, links are accepted there, and while there is no link the seeds are dialed. A link brings the other instances. Ruled out: seeds at the first port of the port range (needs the ports of others to be guessed). Test: starts-without-store.txtar failed first (not ready in 30 s), passes in 2.6 s.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -52,7 +52,8 @@
 	IP           string
 	FrontAddress Address
 	ReadyAddress Address
-	PeerPort     int
+	PeerAddress  Address   // where this instance accepts links of others
+	Seeds        []Address // of others, which may be gone
 	StoreAddress Address
 	MemoryLimit  int64 // bytes
 	Grace        time.Duration
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -45,6 +45,9 @@
 	Self     Hello
 	Receiver Receiver
 	Logger   *zap.Logger
+	// Seeds are addresses of instances to be tried while there is no link. They may
+	// be gone.
+	Seeds []string
 	// Topology is ZoneMesh where it is nil.
 	Topology Topology
 }
@@ -264,6 +267,23 @@
 			list = append(list, target)
 		}
 	}
+	if len(m.links) == 0 {
+		list = append(list, m.seeds()...)
+	}
+	return list
+}
+
+// seeds returns the seeds that are not being dialed, and marks them. Their ids are
+// known only once they answer.
+func (m *Mesh) seeds() []instancelist.Instance {
+	var list []instancelist.Instance
+	for _, address := range m.config.Seeds {
+		id := instancelist.ID("seed " + address)
+		if !m.dialing[id] {
+			m.dialing[id] = true
+			list = append(list, instancelist.Instance{ID: id, Address: address})
+		}
+	}
 	return list
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,19 +55,27 @@
 			Instance: instancelist.ID(r.settings.Instance), Incarnation: uuid.New(),
 			Zone: instancelist.AvailabilityZone(r.settings.Zone),
 		},
-		Receiver: r, Logger: r.logger,
+		Receiver: r, Logger: r.logger, Seeds: r.otherSeeds(),
 	})
 }
 
-func (r *Router) peerAddress() string {
-	return net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPort))
+// otherSeeds are the addresses of the settings by which peers are found while the
+// list for peers can't be read.
+func (r *Router) otherSeeds() []string {
+	var seeds []string
+	for _, seed := range r.settings.Seeds {
+		if seed != r.settings.PeerAddress {
+			seeds = append(seeds, string(seed))
+		}
+	}
+	return seeds
 }
 
 // servePeers accepts links.
 func (r *Router) servePeers(ctx context.Context) error {
 	handler := http.NewServeMux()
 	handler.Handle(peer.LinkPath, r.mesh.Handler())
-	return r.serveSide(ctx, r.peerAddress(), handler)
+	return r.serveSide(ctx, string(r.settings.PeerAddress), handler)
 }
 
 // keepRegistered writes this instance into the list for peers.
@@ -85,7 +91,7 @@
 }
 
 func (r *Router) register(ctx context.Context, now time.Time) error {
-	value, err := cbor.Marshal(wireInstance{Address: r.peerAddress(), Zone: string(r.settings.Zone), Millis: now.UnixMilli()})
+	value, err := cbor.Marshal(wireInstance{Address: string(r.settings.PeerAddress), Zone: string(r.settings.Zone), Millis: now.UnixMilli()})
 	if err != nil {
 		return err
 	}
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -201,7 +201,7 @@
 	settings := deployment.Settings{
 		Instance: deployment.InstanceID(name), Zone: deployment.Zone(zone), IP: "127.0.0.1",
 		FrontAddress: local(), ReadyAddress: local(), StoreAddress: p.store.Address(),
-		PeerPort: freePort(p.t), MemoryLimit: 256 << 20,
+		PeerAddress: local(), Seeds: p.seeds(), MemoryLimit: 256 << 20,
 		Grace:      4 * time.Second,
 		RetryRatio: 20, RetryWindow: 10 * time.Second, RetryReserve: 2000,
 	}
@@ -212,6 +212,15 @@
 	go func() { under.done <- r.run(ctx) }()
 }
 
+// seeds are the addresses for peers of all routers so far.
+func (p *play) seeds() []deployment.Address {
+	var seeds []deployment.Address
+	for _, r := range p.routers {
+		seeds = append(seeds, r.settings.PeerAddress)
+	}
+	return seeds
+}
+
 func (p *play) stopRouter(name string) {
 	r := p.routers[name]
 	r.stop()
