The configuration's limits hold: headers, bodies, connections

Cause: the size of headers and the time for them were fixed, a client that sent its body slowly held its request without end, and the connections that a backend server accepts were not counted: what is beyond them is reset, perhaps after the request was read. Change: 431 by the limit in force; a connection without a whole header is closed after the time for one, a kept one after the idle time and that; a body that is not there by the request's deadline is refused with 408 (true: nothing was sent on); the instances share a backend server's connections in even parts. Ruled out: the server's own timeouts (they can't change while it runs); taking the read deadline back after a failure (the server then waits for the rest of the body before it answers; TestLimits hung on it). Tests: TestLimits, TestQuietConnections, TestConnectionsAreShared, TestFewConnections.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -19,6 +19,7 @@
 	deployment.Backend
 	ejection      ejection.State
 	inFlight      int
+	connections   int // of this instance, one for each request that begins here
 	waiting       int // requests of all instances, from its last answer
 	avoidUntil    time.Time
 	suspectSince  time.Time // zero where it is not suspected
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -65,7 +65,7 @@
 	leaving.Draining = true
 	f.Put(leaving)
 	assert.Equal(t, len(f.Stages(start, service)), 0)
-	_, ok := f.Pick(start, "svc", "a", nil)
+	_, ok := f.Pick(start, service, "a", nil)
 	assert.Assert(t, !ok)
 }
 
@@ -126,13 +126,13 @@
 	far := entry("i-far", 0, 0)
 	far.Zone = "b"
 	f := fleetOf(entry("i-1", 0, 0), far)
-	work, ok := f.Pick(start, "svc", "a", nil)
+	work, ok := f.Pick(start, service, "a", nil)
 	assert.Assert(t, ok)
 	assert.Equal(t, work.Backend.ID, deployment.BackendID("i-1"))
 	work.Done(start, Failed)
-	work, _ = f.Pick(start, "svc", "a", nil)
+	work, _ = f.Pick(start, service, "a", nil)
 	assert.Equal(t, work.Backend.ID, deployment.BackendID("i-far"), "i-1 has just failed")
-	_, ok = f.Pick(start, "svc", "a", map[deployment.BackendID]bool{"i-1": true, "i-far": true})
+	_, ok = f.Pick(start, service, "a", map[deployment.BackendID]bool{"i-1": true, "i-far": true})
 	assert.Assert(t, !ok)
 }
 
@@ -207,3 +207,43 @@
 	assert.Assert(t, f.Members(now, "svc", "a")[0].SuspectedFor > 0)
 	assert.Equal(t, len(f.Stages(now, service)), 0)
 }
+
+// TestConnectionsAreShared: the instances together open no more connections to a
+// backend server than it accepts, and a request that has ended makes room.
+func TestConnectionsAreShared(t *testing.T) {
+	const instances, accepted = 3, 10
+	plain := &deployment.Service{Name: "svc", MaxConnections: accepted}
+	model := &deployment.Service{Name: "svc", Engine: service.Engine, MaxConnections: accepted}
+	opened := 0
+	var last *Work
+	for range instances {
+		f := fleetOf(entry("i-1", 0, 40), entry("i-2", 40, 80))
+		f.SetInstances(instances)
+		for len(f.Stages(start, model)) == 2 {
+			work, ok := f.Begin(pathOf("i-1", "i-2"))
+			assert.Assert(t, ok)
+			opened++
+			last = work
+		}
+		_, ok := f.Pick(start, plain, "a", map[deployment.BackendID]bool{"i-2": true})
+		assert.Assert(t, !ok)
+		last.Done(start, Succeeded)
+		_, ok = f.Pick(start, plain, "a", map[deployment.BackendID]bool{"i-2": true})
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, opened, instances*(accepted/instances))
+}
+
+// TestFewConnections: an instance may open one connection at least.
+func TestFewConnections(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 0))
+	f.SetInstances(9)
+	plain := &deployment.Service{Name: "svc", MaxConnections: 4}
+	work, ok := f.Pick(start, plain, "a", nil)
+	assert.Assert(t, ok)
+	_, ok = f.Pick(start, plain, "a", nil)
+	assert.Assert(t, !ok)
+	work.Done(start, Succeeded)
+	_, ok = f.Pick(start, plain, "a", nil)
+	assert.Assert(t, ok)
+}
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -49,6 +49,9 @@
 		if s.Service != service.Name || layers.Len() == 0 || !s.usable(now) || !s.hasRoom(now) {
 			continue
 		}
+		if layers.First == 0 && !f.mayConnect(s, service) {
+			continue
+		}
 		stages = append(stages, pipeline.Stage{
 			ID: s.ID, Address: s.Address, Zone: s.Zone, Layers: layers,
 			Accelerator: service.Engine.Accelerators[s.Accelerator], Requests: s.inFlight + f.load.others(now, s.Zone), Slowdown: s.slowdown(now),
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -42,6 +42,7 @@
 		if i > 0 {
 			continue // what happened at the first one says nothing of the others
 		}
+		s.connections--
 		switch result {
 		case Succeeded:
 			s.ejection.Succeeded()
@@ -54,13 +55,13 @@
 
 // Pick chooses a backend server of a plain service and counts the work. tried
 // holds those that the request has been at.
-func (f *Fleet) Pick(now time.Time, service deployment.ServiceName, zone deployment.Zone, tried map[deployment.BackendID]bool) (*Work, bool) {
+func (f *Fleet) Pick(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*Work, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *server
 	var bestRank rank
 	for _, s := range f.servers {
-		if s.Service != service || s.Draining || tried[s.ID] {
+		if s.Service != service.Name || s.Draining || tried[s.ID] || !f.mayConnect(s, service) {
 			continue
 		}
 		r := rankOf(now, s, zone)
@@ -72,9 +73,20 @@
 		return nil, false
 	}
 	best.inFlight++
+	best.connections++
 	return &Work{Backend: best.Backend, fleet: f, ids: []deployment.BackendID{best.ID}}, true
 }
 
+// mayConnect tells whether this instance may open one more connection to a backend
+// server. All instances share what it accepts in even parts, as it resets what is
+// beyond that after it may have read a request.
+func (f *Fleet) mayConnect(s *server, service *deployment.Service) bool {
+	if service.MaxConnections == 0 {
+		return true
+	}
+	return s.connections < max(1, service.MaxConnections/f.load.instances)
+}
+
 // rank orders the backend servers of a plain service for a request: first those
 // that work, then those with a free slot, then those of the request's zone, then
 // the least loaded.
@@ -135,6 +147,7 @@
 			s.inFlight++
 		}
 	}
+	first.connections++
 	f.load.own[first.Zone]++
 	return &Work{Backend: first.Backend, fleet: f, ids: path.IDs, onPath: true}, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -128,7 +127,7 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	c, refusal := g.accept(r, now)
+	c, refusal := g.accept(w, r, now)
 	if refusal != nil {
 		g.refuse(w, c, *refusal)
 		return
@@ -146,13 +145,16 @@
 
 // accept reads a request and decides where it goes. A refusal says why it goes
 // nowhere.
-func (g *Gateway) accept(r *http.Request, now time.Time) (*call, *refusal) {
+func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *refusal) {
 	c := &call{id: r.Header.Get(platform.HeaderRequestID), started: now}
 	table, ok := g.Current.Table()
 	if !ok {
 		return c, &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: configurationPause}
 	}
 	c.version = table.Version()
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerSize(r) > limit {
+		return c, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, code: "header-too-large"}
+	}
 	decision, err := table.Decide(r.Host, r.URL.Path, deployment.Key(r.Header.Get(platform.HeaderKey)))
 	if err != nil {
 		return c, refusalOf(err)
@@ -161,7 +163,8 @@
 	if c.id == "" {
 		return c, &refusal{status: http.StatusBadRequest, code: "no-request-id"}
 	}
-	body, refused := readBody(r, table.Limits().BodyBytes)
+	c.deadline = now.Add(timeLeft(r.Header, decision.Route))
+	body, refused := readBody(w, r, table.Limits().BodyBytes, c.deadline)
 	if refused != nil {
 		return c, refused
 	}
@@ -172,7 +175,6 @@
 	if !ok {
 		return c, &refusal{status: http.StatusServiceUnavailable, code: "no-service", after: configurationPause}
 	}
-	c.deadline = now.Add(timeLeft(r.Header, decision.Route))
 	c.request = backend.Request{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, ID: c.id,
 		Header: forwardedHeader(r.Header, decision.Team), Body: body,
@@ -206,21 +208,3 @@
 	}
 	return &refusal{status: http.StatusServiceUnavailable, code: "no-decision", cause: err, after: configurationPause}
 }
-
-func readBody(r *http.Request, limit int64) ([]byte, *refusal) {
-	if limit > 0 && r.ContentLength > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
-	}
-	reader := io.Reader(r.Body)
-	if limit > 0 {
-		reader = io.LimitReader(r.Body, limit+1)
-	}
-	body, err := io.ReadAll(reader)
-	if err != nil {
-		return nil, &refusal{status: http.StatusBadRequest, code: "body-broken", cause: err}
-	}
-	if limit > 0 && int64(len(body)) > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
-	}
-	return body, nil
-}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -113,7 +113,7 @@
 		if p.call.tries > 0 && !p.gateway.budget(p.call.service.Name).Take(now, false) {
 			return p.best
 		}
-		work, ok := p.gateway.Fleet.Pick(now, p.call.service.Name, p.gateway.Settings.Zone, p.tried)
+		work, ok := p.gateway.Fleet.Pick(now, p.call.service, p.gateway.Settings.Zone, p.tried)
 		if !ok {
 			return p.best
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,10 +47,10 @@
 	outOfRotation = 3 * time.Second
 	// exitMargin is left of the grace for the exit itself.
 	exitMargin = 400 * time.Millisecond
-	// headerTimeout bounds how long a client takes to send a header; the limits of
-	// the configuration are shorter than that.
-	headerTimeout = 10 * time.Second
-	maxHeader     = 64 << 10 // bytes
+	// headerTimeout and maxHeader bound a client's header where no configuration
+	// is in force yet, or it sets no limit.
+	headerTimeout = 30 * time.Second
+	maxHeader     = 1 << 20 // bytes
 	readyTimeout  = time.Second
 )
 
