An entry that lapses though its backend server is well moves no layers

Cause: while the store carries out writes late, entries lapse and come back within a second or two. Change: the orderer asks a backend server whose entry was removed unannounced on its health path. Where it is well, its layers count as held until the entry is back, for two seconds at most. It gets no requests meanwhile. Tried before and taken back: to tell late writes by other entries being overdue. Tests: entry-lapses (failed without the question), leaves-unannounced, TestDeparted, TestLeftOrLost.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -46,6 +46,7 @@
 type Fleet struct {
 	mu       sync.Mutex
 	servers  map[deployment.BackendID]*server
+	departed map[deployment.BackendID]departure
 	synced   bool
 	outageAt time.Time // last time at which the list could not be read
 	load     zoneLoad
@@ -53,7 +54,9 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	return &Fleet{servers: map[deployment.BackendID]*server{}, load: newZoneLoad()}
+	return &Fleet{
+		servers: map[deployment.BackendID]*server{}, departed: map[deployment.BackendID]departure{}, load: newZoneLoad(),
+	}
 }
 
 // SetInstances tells how many instances, this one included, send requests.
@@ -98,6 +101,7 @@
 	if f.superseded(entry) {
 		return false
 	}
+	delete(f.departed, entry.ID)
 	known, ok := f.servers[entry.ID]
 	if !ok || !known.Born.Equal(entry.Born) {
 		f.servers[entry.ID] = &server{Backend: entry}
@@ -151,6 +155,7 @@
 		}
 		return
 	}
+	f.depart(now, known)
 	delete(f.servers, id)
 }
 
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -247,3 +247,28 @@
 	_, ok = f.Pick(start, plain, "a", nil)
 	assert.Assert(t, ok)
 }
+
+// TestDeparted: what loses its entry unannounced may come back for two seconds, gets no
+// work meanwhile, and is no longer departed once it is back.
+func TestDeparted(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 40), entry("i-2", 40, 80))
+	f.Remove(start, "i-1")
+	assert.Equal(t, len(f.Stages(start, service)), 1)
+	assert.Equal(t, len(f.Departed(start.Add(time.Second), "svc", "a")), 1)
+	assert.Equal(t, len(f.Departed(start.Add(time.Second), "svc", "b")), 0)
+	f.Put(entry("i-1", 0, 40))
+	assert.Equal(t, len(f.Departed(start.Add(time.Second), "svc", "a")), 0)
+	f.Remove(start, "i-1")
+	assert.Equal(t, len(f.Departed(start.Add(missingGrace), "svc", "a")), 0)
+}
+
+// TestLeftOrLost: what has announced that it leaves, or was suspected, has not lapsed.
+func TestLeftOrLost(t *testing.T) {
+	leaving := entry("i-1", 0, 40)
+	leaving.Draining = true
+	f := fleetOf(leaving, entry("i-2", 40, 80))
+	f.Suspect(start, "i-2:80")
+	f.Remove(start, "i-1")
+	f.Remove(start, "i-2")
+	assert.Equal(t, len(f.Departed(start, "svc", "a")), 0)
+}
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -66,6 +66,7 @@
 type Member struct {
 	deployment.Backend
 	SuspectedFor time.Duration
+	Departed     bool // its entry was removed, though it is well
 }
 
 // Members returns the backend servers of a service in a zone that don't leave.
--- a/internal/orderer/book.go
+++ b/internal/orderer/book.go
@@ -53,6 +53,7 @@
 	silent    map[deployment.BackendID]time.Time // not to be asked before
 	busy      map[deployment.BackendID]time.Time // busy with an unknown order
 	busySince time.Time
+	well      map[deployment.BackendID]bool // what those without an entry have said
 	members   int
 	calmSince time.Time
 }
@@ -62,9 +63,38 @@
 		orders: map[deployment.BackendID]pending{},
 		silent: map[deployment.BackendID]time.Time{},
 		busy:   map[deployment.BackendID]time.Time{},
+		well:   map[deployment.BackendID]bool{},
 	}
 }
 
+// departed returns as members those backend servers without an entry that have said
+// that they are well, and the ones that are still to be asked.
+func (b *book) departed(servers []deployment.Backend) (members []backend.Member, ask []deployment.Backend) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := map[deployment.BackendID]bool{}
+	for _, server := range servers {
+		well, asked := b.well[server.ID]
+		if !asked {
+			ask = append(ask, server)
+			continue
+		}
+		known[server.ID] = well
+		if well {
+			members = append(members, backend.Member{Backend: server, Departed: true})
+		}
+	}
+	b.well = known
+	return members, ask
+}
+
+// answered notes whether a backend server without an entry is well.
+func (b *book) answered(id deployment.BackendID, well bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.well[id] = well
+}
+
 // plan returns the changes to carry out now.
 func (b *book) plan(now time.Time, engine *deployment.Engine, members []backend.Member) []change {
 	b.mu.Lock()
@@ -123,7 +153,7 @@
 func (b *book) server(now time.Time, engine *deployment.Engine, member backend.Member) placement.Server {
 	s := placement.Server{
 		ID: member.ID, Memory: engine.Accelerators[member.Accelerator].Memory, Layers: member.Layers,
-		Fixed: now.Before(b.silent[member.ID]) || member.SuspectedFor > 0,
+		Fixed: now.Before(b.silent[member.ID]) || member.SuspectedFor > 0 || member.Departed,
 	}
 	order, ok := b.orders[member.ID]
 	if !ok {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -204,7 +204,7 @@
 		b = newBook()
 		o.books[service.Name] = b
 	}
-	members := o.Fleet.Members(now, service.Name, o.Settings.Zone)
+	members := append(o.Fleet.Members(now, service.Name, o.Settings.Zone), o.departed(ctx, now, b, service)...)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(atOnce)
 	for _, server := range b.loading(now, members) {
@@ -224,6 +224,30 @@
 	_ = group.Wait()
 }
 
+// departed returns the backend servers whose entries were removed and that are well.
+// Others need not load their layers as long as their entries may come back.
+func (o *Orderer) departed(ctx context.Context, now time.Time, b *book, service *deployment.Service) []backend.Member {
+	servers := o.Fleet.Departed(now, service.Name, o.Settings.Zone)
+	members, ask := b.departed(servers)
+	if len(ask) == 0 || service.HealthPath == "" {
+		return members
+	}
+	var group errgroup.Group
+	group.SetLimit(atOnce)
+	for _, server := range ask {
+		group.Go(func() error {
+			err := o.Backends.Healthy(ctx, server, service.HealthPath)
+			b.answered(server.ID, err == nil)
+			o.Logger.Info("backend server without an entry", zap.String("backend", string(server.ID)), zap.Bool("well", err == nil), zap.Error(err))
+			return nil
+		})
+	}
+	// The calls report their failures themselves.
+	_ = group.Wait()
+	members, _ = b.departed(servers)
+	return members
+}
+
 // announce tells which layers a backend server is ordered to hold. What it gives up
 // takes no new requests from then on, though the list may name it for as long as
 // requests pass through.
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -40,6 +40,7 @@
 //	whole                    waits for all that was begun, which must have a whole answer
 //	truthful                 waits for all that was begun, which may have failed; what is
 //	                         said not to have run must not have
+//	remember, unchanged      what the servers hold is as it was
 //	status a any 401         waits until a request gets a status
 //	fault 3 dark             changes how the server with a number treats requests
 //	crash 3, drain 3, unlist 3, store down, stop a, pause 300
@@ -63,6 +64,7 @@
 	store   *platformtest.Store
 	world   *platformtest.World
 	routers map[string]*routerUnderTest
+	layers  []deployment.LayerRange // of the servers in order, as remembered
 
 	begun   sync.WaitGroup
 	mu      sync.Mutex
@@ -137,6 +139,10 @@
 		p.server(fields[1]).Unlist()
 	case "store":
 		p.store.SetFault(p.storeFault(fields[1]))
+	case "remember":
+		p.layers = p.held()
+	case "unchanged":
+		assert.DeepEqual(p.t, p.held(), p.layers)
 	case "forget":
 		p.store.Forget(platform.ConfigurationTopic)
 		p.store.Forget(platform.BackendsTopic)
@@ -161,6 +167,7 @@
 	faults := map[string]platformtest.ServerFault{
 		"sound": platformtest.ServerSound, "dark": platformtest.ServerDark, "refuses": platformtest.ServerRefuses,
 		"loses": platformtest.ServerLoses, "breaks": platformtest.ServerBreaks,
+		"unheard": platformtest.ServerUnheard,
 	}
 	fault, ok := faults[name]
 	assert.Assert(p.t, ok, "unknown fault %s", name)
@@ -255,6 +262,14 @@
 	return true
 }
 
+func (p *play) held() []deployment.LayerRange {
+	var held []deployment.LayerRange
+	for _, s := range p.world.Servers() {
+		held = append(held, s.Layers())
+	}
+	return held
+}
+
 func (p *play) isReady(name string) bool {
 	response, err := http.Get("http://" + string(p.routers[name].settings.ReadyAddress) + platform.ReadinessPath)
 	if err != nil {
