The last holder of the duty goes on where the store leaves before the next one has a number

The store had dealt the duty of banska and zvolen on at 16 s and 17 s and was lost at 18 s, before the next holder had a fencing number. The last holder had dropped the duty, and nobody else takes over while the holder that all know is present; so banska had no orders from 18 s to 28 s and zvolen none from 18 s to 21 s, while stages of both left. Change: the instance whose number is the last known resumes the duty when the store has been silent for the usual time. A dealt duty without a number is no bar to taking over. Ruled out: a number without the store (only its log makes numbers that all can compare); shorter settling before a number is taken (the duty moves about while instances start).

--- a/internal/orderer/lease.go
+++ b/internal/orderer/lease.go
@@ -1,6 +1,7 @@
 package orderer
 
 import (
+	"slices"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -21,7 +22,7 @@
 type lease struct {
 	heldSince time.Time // zero where the duty is another's
 	fencing   int64     // 0 before one was taken
-	adopted   bool      // the number is that of a holder which is gone
+	adopted   bool      // the number is not one that was taken for this duty
 	answered  time.Time // last answer of the platform on the duty
 	known     known
 }
@@ -59,8 +60,11 @@
 	l.adopted = false
 }
 
-// took notes a fencing number. It replaces a smaller one only.
-func (l *lease) took(fencing int64) { l.fencing = max(l.fencing, fencing) }
+// took notes a fencing number of this instance. It replaces a smaller one only.
+func (l *lease) took(self deployment.InstanceID, fencing int64) {
+	l.fencing = max(l.fencing, fencing)
+	l.holderKnown(self, l.fencing)
+}
 
 // fenced notes that a backend server knows a higher fencing number. The duty has
 // to be confirmed before another number is taken.
@@ -76,29 +80,35 @@
 	}
 }
 
-// adopt takes the duty over from a holder that is gone while the platform, which
-// would deal it anew, does not answer. present holds the instances of the zone that
-// can be reached, this one included, the smallest id first. The number stays the
-// holder's: should it come back, its orders and these are told apart by the order
-// count that each expects. It reports whether the duty was taken over.
+// adopt takes the duty over while the platform, which would deal it anew, does not
+// answer: from a holder that is gone, or back where the platform has dealt it on and
+// nobody has taken a number since, which the platform alone could give. present holds
+// the instances of the zone that can be reached, this one included, the smallest id
+// first. The number stays the last holder's: should it come back, its orders and these
+// are told apart by the order count that each expects. It reports whether the duty was
+// taken over.
 func (l *lease) adopt(now time.Time, self deployment.InstanceID, present []deployment.InstanceID) bool {
-	if !l.heldSince.IsZero() || l.known.fencing == 0 || now.Sub(l.answered) < storeLostTime {
+	if l.fencing > 0 || l.known.fencing == 0 || now.Sub(l.answered) < storeLostTime {
 		return false
 	}
-	if len(present) == 0 || present[0] != self {
+	if l.known.holder != self && !l.succeeds(self, present) {
 		return false
 	}
-	for _, instance := range present {
-		if instance == l.known.holder {
-			return false
-		}
-	}
 	l.heldSince = now
 	l.fencing = l.known.fencing
 	l.adopted = true
 	return true
 }
 
+// succeeds tells whether an instance follows the known holder: the first of those
+// present, where the holder is not among them.
+func (l *lease) succeeds(self deployment.InstanceID, present []deployment.InstanceID) bool {
+	if len(present) == 0 || present[0] != self {
+		return false
+	}
+	return !slices.Contains(present, l.known.holder)
+}
+
 // next tells what to do now.
 func (l *lease) next(now time.Time) step {
 	switch {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -178,7 +178,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lease.took(int64(offset) + 1)
+	o.lease.took(o.Settings.Instance, int64(offset)+1)
 	o.books = map[deployment.ServiceName]*book{}
 	o.Logger.Info("fencing number taken", zap.Int64("fencing", o.lease.fencing))
 	o.Holding(o.lease.fencing)
