A gap fills nobody further than is needed

Change: while layers are missing, they take the least part of the memory with which all fit and each server has room to move one: 0.8, 0.86, else 0.93. Ruled out: one smaller limit for all (0.86 leaves layers to nobody where only 0.93 fits). Tests: TestPlanFillsWhatFits now also checks that nobody is filled further, which failed first.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,7 +43,8 @@
 const (
 	// usualShare is the part of a backend server's memory that layers may take.
 	usualShare = 0.8
-	// urgentShare holds where layers would otherwise be held by nobody.
+	// tightShare and urgentShare hold where layers would otherwise be held by nobody.
+	tightShare  = 0.86
 	urgentShare = 0.93
 	// goalShare is the part of the memory for requests that a replica over all
 	// servers would have, which the plan gives to those that hold layers. The
@@ -83,6 +84,9 @@
 	servers []Server // the one with the most memory first
 	changes []Change
 	goal    float64 // memory for requests for each layer
+	// gapShare is the part of the memory that layers may take while some are held by
+	// nobody.
+	gapShare float64
 	// touched holds the servers that are changed, or relieved by a changed one.
 	touched map[deployment.BackendID]bool
 }
@@ -97,9 +101,26 @@
 		return a.ID < b.ID
 	})
 	s.goal = goalShare * s.reach(s.all())
+	s.gapShare = s.leastShare()
 	return s
 }
 
+// leastShare is the least part of the memory with which all layers fit and each
+// server has room for one more, so that they can be moved about. A server that is
+// filled further than needed holds up the requests of all.
+func (s *state) leastShare() float64 {
+	for _, share := range []float64{usualShare, tightShare} {
+		room := 0
+		for _, server := range s.servers {
+			room += max(0, s.room(server, share)-1)
+		}
+		if room >= s.engine.Layers {
+			return share
+		}
+	}
+	return urgentShare
+}
+
 func (s *state) all() []int {
 	all := make([]int, len(s.servers))
 	for i := range all {
@@ -309,7 +330,7 @@
 	best, bestSpare := -1, 0.0
 	for i, server := range s.servers {
 		touches := server.Layers.Len() > 0 && (server.Layers.End == gap.First || server.Layers.First == gap.End)
-		if !touches || server.Fixed || server.Layers.Len() >= s.room(server, urgentShare) {
+		if !touches || server.Fixed || server.Layers.Len() >= s.room(server, s.gapShare) {
 			continue
 		}
 		spare := s.spare(i, server.Layers.Len()+1)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -186,7 +186,8 @@
 }
 
 // TestPlanFillsWhatFits loses servers of a whole replica, several at a time, while
-// orders take their time. Where all layers fit, they are all held again in the end.
+// orders take their time. Where all layers fit, they are all held again in the end, and
+// nobody was filled further than that needs.
 func TestPlanFillsWhatFits(t *testing.T) {
 	prove.Random(t, func(t *rapid.T) {
 		servers := zone(t)
@@ -198,6 +199,7 @@
 				servers = rest
 			}
 		}
+		before := append([]Server(nil), servers...)
 		underWay := orders{}
 		const mostRounds = 2000
 		for round := 0; round < mostRounds; round++ {
@@ -210,11 +212,16 @@
 				rounds := rapid.IntRange(1, 3).Draw(t, "rounds")
 				underWay[change.ID] = &order{layers: change.Layers, rounds: rounds}
 			}
-			before := uncovered(servers)
+			missing := uncovered(servers)
 			underWay.pass(servers)
-			assert.Assert(t, uncovered(servers) <= before, "the last copy of a layer is taken away")
+			assert.Assert(t, uncovered(servers) <= missing, "the last copy of a layer is taken away")
 		}
 		assert.Equal(t, len(underWay), 0, "the plan does not come to rest")
 		assert.Equal(t, uncovered(servers), 0, "%v", servers)
+		s := newState(testEngine(), servers)
+		for i, server := range servers {
+			grown := server.Layers.Len() > before[i].Layers.Len()
+			assert.Assert(t, !grown || server.Layers.Len() <= s.room(server, s.gapShare), "%s is filled up: %v", server.ID, servers)
+		}
 	})
 }
--- a/internal/placement/shift.go
+++ b/internal/placement/shift.go
@@ -116,7 +116,7 @@
 // the gap, as far as it has room. It reports whether it does.
 func (s *state) take(further, nearer, most int, d side) bool {
 	far := d.view(s.servers[further].Layers)
-	room := s.room(s.servers[further], urgentShare) - far.Len()
+	room := s.room(s.servers[further], s.gapShare) - far.Len()
 	count := min(room, most, s.servers[nearer].Layers.Len()-1)
 	if count <= 0 || s.changed(further) || s.changed(nearer) {
 		return false
