--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -44,6 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var stages []pipeline.Stage
+	others := map[deployment.Zone]int{}
 	for _, s := range f.servers {
 		layers := s.layers(now)
 		if s.Service != service.Name || layers.Len() == 0 || !s.usable(now) || !s.hasRoom(now) {
@@ -52,9 +53,12 @@
 		if layers.First == 0 && !f.mayConnect(s, service) {
 			continue
 		}
+		if _, known := others[s.Zone]; !known {
+			others[s.Zone] = f.load.others(now, s.Zone)
+		}
 		stages = append(stages, pipeline.Stage{
 			ID: s.ID, Address: s.Address, Zone: s.Zone, Layers: layers,
-			Accelerator: service.Engine.Accelerators[s.Accelerator], Requests: s.inFlight + f.load.others(now, s.Zone), Slowdown: s.slowdown(now),
+			Accelerator: service.Engine.Accelerators[s.Accelerator], Requests: s.inFlight + others[s.Zone], Slowdown: s.slowdown(now),
 			Start: s.start.expected(now),
 		})
 	}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -30,17 +30,15 @@
 func (f *Fleet) Suspect(now time.Time, address deployment.Address) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	fresh := false
-	for _, s := range f.servers {
-		if s.Address != address {
-			continue
-		}
-		fresh = s.suspectSince.IsZero()
-		if fresh {
-			s.suspectSince = now
-		}
-		s.avoidUntil = now.Add(suspectTime)
+	s := f.at(address)
+	if s == nil {
+		return false
 	}
+	fresh := s.suspectSince.IsZero()
+	if fresh {
+		s.suspectSince = now
+	}
+	s.avoidUntil = now.Add(suspectTime)
 	return fresh
 }
 
@@ -68,18 +66,6 @@
 	return true
 }
 
-// SuspectOn tells whether a path passes through a suspected stage.
-func (f *Fleet) SuspectOn(path pipeline.Path) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, id := range path.IDs {
-		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // NoteStart takes how long a request has waited for its first event, or waits yet,
 // at the first stage of its path.
 func (f *Fleet) NoteStart(now time.Time, id deployment.BackendID, waited time.Duration) {
@@ -90,17 +76,17 @@
 	}
 }
 
-// LostOn returns the suspected stages of a path.
-func (f *Fleet) LostOn(path pipeline.Path) []deployment.Address {
+// SuspectsOn returns the suspected stages of a path.
+func (f *Fleet) SuspectsOn(path pipeline.Path) []deployment.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var lost []deployment.Address
+	var suspects []deployment.Address
 	for i, id := range path.IDs {
 		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
-			lost = append(lost, path.Hops[i].Address)
+			suspects = append(suspects, path.Hops[i].Address)
 		}
 	}
-	return lost
+	return suspects
 }
 
 // Suspects returns the suspected backend servers.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -143,17 +143,14 @@
 
 // Engine describes how the backend servers of a model service compute.
 type Engine struct {
-	Slots           int
 	Layers          int
 	LayerSize       Megabytes
 	KVBytesPerToken float64
 	StepTime        time.Duration
 	StepPerRequest  time.Duration
 	StepPerKContext time.Duration
-	ReadPerSecond   float64
 	Stride          int
 	LoadTime        time.Duration
-	ReportLag       time.Duration
 	Accelerators    map[string]Accelerator
 	UsualPrompt     float64 // tokens
 	UsualAnswer     float64 // tokens
--- a/internal/experiment/placement.go
+++ b/internal/experiment/placement.go
@@ -42,7 +42,7 @@
 	return &deployment.Engine{
 		Layers: sampleLayers, LayerSize: sampleLayerSize, KVBytesPerToken: sampleKVBytes, Stride: 2,
 		StepTime: 850 * time.Microsecond, StepPerRequest: 3820 * time.Nanosecond, StepPerKContext: 5120 * time.Nanosecond,
-		ReadPerSecond: 196000, UsualPrompt: samplePrompt, UsualAnswer: sampleAnswer,
+		UsualPrompt: samplePrompt, UsualAnswer: sampleAnswer,
 		Accelerators: map[string]deployment.Accelerator{
 			"h100":  {Memory: 72000, StepFactor: 1.4, ReadFactor: 1},
 			"a100s": {Memory: 36000, StepFactor: 3.1, ReadFactor: 3.2},
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -163,7 +163,7 @@
 		if !stream.begun.Load() {
 			w.config.Fleet.NoteStart(now, path.IDs[0], now.Sub(stream.sent))
 		}
-		if w.config.Fleet.SuspectOn(path) {
+		if len(w.config.Fleet.SuspectsOn(path)) > 0 {
 			stream.moving.Store(true)
 			silent = append(silent, stream)
 			continue
@@ -207,7 +207,7 @@
 func (w *watch) detour(now time.Time, stream *watched) (place, bool) {
 	service := stream.call.service
 	path := stream.path()
-	lost := w.config.Fleet.LostOn(path)
+	lost := w.config.Fleet.SuspectsOn(path)
 	if len(lost) != 1 {
 		return place{}, false
 	}
