One instance reads for all, each border is crossed once

Who isn't fed reads for itself, so a cut zone goes on as before. Ruled out: feeding all instances directly (each border would be crossed by each); pauses between readings (they are the bound on what leaves).

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -133,21 +133,32 @@
 	return list
 }
 
-// Zone returns the ids of this zone's instances with an open link that are not
-// leaving, and this instance's own unless it is.
-func (m *Mesh) Zone() []instancelist.ID {
+// Present returns the instances with an open link that are not leaving, and this one
+// unless it is, sorted by id.
+func (m *Mesh) Present() []Hello {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []instancelist.ID
+	var list []Hello
 	if !m.leaving {
-		list = append(list, m.config.Self.Instance)
+		list = append(list, m.config.Self)
 	}
 	for _, l := range m.links {
-		if l.peer.Zone == m.config.Self.Zone && !l.leaving.Load() {
-			list = append(list, l.peer.Instance)
+		if !l.leaving.Load() {
+			list = append(list, l.peer)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Instance < list[j].Instance })
+	return list
+}
+
+// Zone returns the ids of those present in this zone, sorted.
+func (m *Mesh) Zone() []instancelist.ID {
+	var list []instancelist.ID
+	for _, hello := range m.Present() {
+		if hello.Zone == m.config.Self.Zone {
+			list = append(list, hello.Instance)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
 	return list
 }
 
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -109,7 +109,7 @@
 	lost := false
 	for ctx.Err() == nil {
 		started := time.Now()
-		if t.fed(started) && !r.reads() {
+		if t.fed(started) && !r.feeding().all {
 			succeeded()
 			sleep(ctx, fedPause)
 			continue
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -14,7 +14,6 @@
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/peer"
-	"mulberryhead.org/mulberryhead/internal/topiccache"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -207,43 +206,6 @@
 	r.mesh.Broadcast(peer.LayersOrdered{Backend: id, Layers: layers, Refused: !stands})
 }
 
-// reads tells whether this instance reads for its zone: the one with the smallest id
-// of those that it can reach.
-func (r *Router) reads() bool {
-	present := r.present()
-	return len(present) == 0 || present[0] == r.settings.Instance
-}
-
-// feeder returns what hands on to the zone what this instance has just read of a
-// topic, if it reads for the zone. An empty part is handed on too, as a sign that the
-// others need not read.
-func (r *Router) feeder(t *tail) func(part topiccache.Part) {
-	return func(part topiccache.Part) {
-		if r.reads() {
-			r.mesh.BroadcastZone(peer.TopicRecords{Topic: t.topic, Part: part, Fed: true})
-		}
-	}
-}
-
-// takeTopic takes records of a peer, and asks for what is missing before them.
-func (r *Router) takeTopic(from peer.Hello, message peer.TopicRecords) {
-	t := r.tailOf(message.Topic)
-	if t == nil {
-		return
-	}
-	now := time.Now()
-	if !message.Fed {
-		r.logger.Info("records of a peer", zap.String("peer", string(from.Instance)), zap.String("topic", message.Topic),
-			zap.Int("count", len(message.Part.Records)), zap.Int64("next", int64(message.Part.Next)))
-		t.take(now, message.Part, false)
-		return
-	}
-	if !t.takeFed(now, message.Part) {
-		_, next := t.position()
-		r.mesh.Send(from.Instance, peer.RecordsWanted{Topic: message.Topic, From: next})
-	}
-}
-
 // announcePace tells the peers how slow a backend server is.
 func (r *Router) announcePace(id deployment.BackendID, pace float64) {
 	r.mesh.Broadcast(peer.Pace{Backend: id, Pace: pace})
--- a/internal/router/tail.go
+++ b/internal/router/tail.go
@@ -80,6 +80,13 @@
 	return t.synced && now.Sub(t.heardOfPeer) < fedTime
 }
 
+// unfed makes this instance read itself.
+func (t *tail) unfed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heardOfPeer = time.Time{}
+}
+
 // fedTime is how long an instance leaves the reading to a peer that has read. It is
 // well inside the bounds on versions and on leaving backend servers.
 const fedTime = 1100 * time.Millisecond
