Work is counted on the start that it began on

Cause: a request that ended after its backend server had started anew, or whose entry had lapsed and come back, was taken off the new count, which then stood one too low for good; shares of connections and the choice of a path build on it. Change: work holds the start that it began on; an entry that comes back brings back what was known of its backend server. Ruled out: looking at the start's time when work ends (the count would be lost all the same where an entry lapses).

--- a/internal/backend/departed.go
+++ b/internal/backend/departed.go
@@ -6,9 +6,10 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 )
 
-// departure is a backend server whose entry was removed.
+// departure is a backend server whose entry was removed, with what is known of it: the
+// requests under way may go on.
 type departure struct {
-	deployment.Backend
+	*server
 	at time.Time
 }
 
@@ -18,7 +19,18 @@
 	if s.Draining || !s.suspectSince.IsZero() || s.refusals >= refusalsInRow {
 		return
 	}
-	f.departed[s.ID] = departure{Backend: s.Backend, at: now}
+	s.missingSince = now
+	f.departed[s.ID] = departure{server: s, at: now}
+}
+
+// comeBack takes a departed backend server in again, with what is known of it.
+func (f *Fleet) comeBack(id deployment.BackendID) {
+	departed, ok := f.departed[id]
+	if !ok {
+		return
+	}
+	f.servers[id] = departed.server
+	delete(f.departed, id)
 }
 
 // Departed returns the backend servers of a service in a zone whose entries were
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -101,7 +101,7 @@
 	if f.superseded(entry) {
 		return false
 	}
-	delete(f.departed, entry.ID)
+	f.comeBack(entry.ID)
 	known, ok := f.servers[entry.ID]
 	if !ok || !known.Born.Equal(entry.Born) {
 		f.servers[entry.ID] = &server{Backend: entry}
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -272,3 +272,31 @@
 	f.Remove(start, "i-2")
 	assert.Equal(t, len(f.Departed(start, "svc", "a")), 0)
 }
+
+// TestBornAgainUnderWork: a request that ends after its backend server has started again
+// takes nothing off what the new start has under way.
+func TestBornAgainUnderWork(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	old, ok := f.Begin(pathOf("i-1"))
+	assert.Assert(t, ok)
+	again := entry("i-1", 0, 80)
+	again.Born = start.Add(time.Second)
+	f.Put(again)
+	_, ok = f.Begin(pathOf("i-1"))
+	assert.Assert(t, ok)
+	old.Done(start.Add(2*time.Second), Succeeded)
+	assert.Equal(t, f.Stages(start.Add(2*time.Second), service)[0].Requests, 1)
+}
+
+// TestLapsedUnderWork: what is under way at a backend server counts on when its entry is
+// back.
+func TestLapsedUnderWork(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	work, ok := f.Begin(pathOf("i-1"))
+	assert.Assert(t, ok)
+	f.Remove(start, "i-1")
+	assert.Assert(t, f.Put(entry("i-1", 0, 80)), "the entry is back")
+	assert.Equal(t, f.Stages(start, service)[0].Requests, 1)
+	work.Done(start, Succeeded)
+	assert.Equal(t, f.Stages(start, service)[0].Requests, 0)
+}
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -11,7 +11,7 @@
 type Work struct {
 	Backend deployment.Backend
 	fleet   *Fleet
-	ids     []deployment.BackendID
+	servers []*server // as they were when the work began, which may have started anew since
 	onPath  bool
 }
 
@@ -33,11 +33,7 @@
 	if w.onPath {
 		w.fleet.load.own[w.Backend.Zone]--
 	}
-	for i, id := range w.ids {
-		s, ok := w.fleet.servers[id]
-		if !ok {
-			continue
-		}
+	for i, s := range w.servers {
 		s.inFlight--
 		if i > 0 {
 			continue // what happened at the first one says nothing of the others
@@ -74,7 +70,7 @@
 	}
 	best.inFlight++
 	best.connections++
-	return &Work{Backend: best.Backend, fleet: f, ids: []deployment.BackendID{best.ID}}, true
+	return &Work{Backend: best.Backend, fleet: f, servers: []*server{best}}, true
 }
 
 // mayConnect tells whether this instance may open one more connection to a backend
@@ -142,12 +138,14 @@
 	if !ok {
 		return nil, false
 	}
+	work := &Work{Backend: first.Backend, fleet: f, onPath: true}
 	for _, id := range path.IDs {
 		if s, ok := f.servers[id]; ok {
 			s.inFlight++
+			work.servers = append(work.servers, s)
 		}
 	}
 	first.connections++
 	f.load.own[first.Zone]++
-	return &Work{Backend: first.Backend, fleet: f, ids: path.IDs, onPath: true}, true
+	return work, true
 }
--- a/internal/router/feed_test.go
+++ b/internal/router/feed_test.go
@@ -53,7 +53,7 @@
 		if cut {
 			want = len(zones)
 		}
-		if readers != want || crossings != (len(zones)-1)*b(!cut) {
+		if readers != want || crossings != wantedCrossings(len(zones), cut) {
 			t.Fatalf("%d readers for %d zones, %d crossings", readers, len(zones), crossings)
 		}
 		for _, instance := range all {
@@ -67,11 +67,11 @@
 	})
 }
 
-func b(yes bool) int {
-	if yes {
-		return 1
+func wantedCrossings(zones int, cut bool) int {
+	if cut {
+		return 0
 	}
-	return 0
+	return zones - 1
 }
 
 func reachable(all []peer.Hello, from peer.Hello, cut bool) []peer.Hello {
