--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -160,7 +160,8 @@
 		return false
 	}
 	switch line.Message {
-	case "store lost", "store regained", "configuration", "duty of orders", "duty taken over without the store", "leaving", "stopped", "started":
+	case "store lost", "store regained", "configuration", "duty of orders", "duty taken over without the store",
+		"leaving", "stopped", "started", "process stood still":
 		return true
 	}
 	return addresses[line.text("address")]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -167,6 +167,7 @@
 	go r.gateway.Watch(working)
 	go r.idle.sweep(working, &r.current)
 	go r.watchSettings(working)
+	go r.noteStandstills(working)
 	go r.mesh.Run(working)
 	go r.followInstances(working)
 	go r.tellLoads(working)
