Every refusal that has not run tells when to come back

Cause: 408 for a body that came too slowly, and 503 for a request that breaks its backend servers, had no Retry-After. Change: both have one, the second the time for which it is kept from them. Tests: TestLimits asks for it with each 503 and 408 (failed first), and TestBlockedRequestMayComeBack.

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
+	"mulberryhead.org/mulberryhead/platform"
 )
 
 func testFleet(now time.Time) (*backend.Fleet, *deployment.Service) {
@@ -47,3 +50,20 @@
 	assert.Equal(t, resultOf(left, broken), backend.Neutral)
 	assert.Equal(t, resultOf(context.Background(), broken), backend.Failed)
 }
+
+// TestBlockedRequestMayComeBack: a request that breaks its backend servers is refused
+// with the time for which that holds.
+func TestBlockedRequestMayComeBack(t *testing.T) {
+	g := limitedGateway()
+	request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	request.Header.Set(platform.HeaderRequestID, "1")
+	accepted, refused := g.accept(httptest.NewRecorder(), request, time.Now())
+	assert.Assert(t, refused == nil)
+	for range crashLimit {
+		g.crashes.note(time.Now(), accepted.fingerprint)
+	}
+	answer := httptest.NewRecorder()
+	g.ServeHTTP(answer, request)
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, answer.Header().Get(platform.HeaderRetryAfter), platform.FormatRetryAfter(crashMemory))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,7 +197,7 @@
 	}
 	c.fingerprint = fingerprintOf(c.request, string(decision.Team))
 	if g.crashes.blocked(now, c.fingerprint) {
-		return c, &refusal{status: http.StatusServiceUnavailable, code: "breaks-backend-servers"}
+		return c, &refusal{status: http.StatusServiceUnavailable, code: "breaks-backend-servers", after: crashMemory}
 	}
 	return c, nil
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -32,7 +32,7 @@
 	body, err := readUntil(w, r, limit, deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, &refusal{status: http.StatusRequestTimeout, code: "body-too-slow", cause: err}
+		return nil, &refusal{status: http.StatusRequestTimeout, code: "body-too-slow", after: backendPause, cause: err}
 	case err != nil:
 		return nil, &refusal{status: http.StatusBadRequest, code: "body-broken", cause: err}
 	case limit > 0 && int64(len(body)) > limit:
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -20,9 +20,9 @@
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
-// limited starts a gateway whose configuration limits headers to 400 bytes, bodies to
+// limitedGateway is a gateway whose configuration limits headers to 400 bytes, bodies to
 // 50 and requests to 300 ms. It has no backend servers.
-func limited(t *testing.T) string {
+func limitedGateway() *Gateway {
 	var current routing.Current
 	current.Offer(deployment.Configuration{
 		Version: 1, Limits: deployment.Limits{HeaderBytes: 400, BodyBytes: 50},
@@ -32,13 +32,10 @@
 			MaxAttempts: 1, Public: true, Targets: []deployment.WeightedService{{Service: "s", Weight: 1}},
 		}},
 	})
-	g := New(Config{
+	return New(Config{
 		Current: &current, Fleet: backend.NewFleet(), Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop(),
 		Settings: deployment.Settings{RetryWindow: time.Second},
 	})
-	server := httptest.NewServer(g)
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
 }
 
 // TestLimits sends requests at the limits and beyond. 503 is the answer of a gateway
@@ -58,7 +55,9 @@
 		{"header too long", 400, 10, 10, http.StatusRequestHeaderFieldsTooLarge},
 		{"body too slow", 10, 50, 20, http.StatusRequestTimeout},
 	}
-	address := limited(t)
+	server := httptest.NewServer(limitedGateway())
+	defer server.Close()
+	address := server.Listener.Addr().String()
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			connection, err := net.Dial("tcp4", address)
@@ -73,6 +72,8 @@
 			body, err := io.ReadAll(response.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, response.StatusCode, c.status, "%s", body)
+			notRun := c.status == http.StatusServiceUnavailable || c.status == http.StatusRequestTimeout
+			assert.Equal(t, response.Header.Get("Retry-After") != "", notRun)
 		})
 	}
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -15,8 +15,8 @@
 	backendPause       = 400 * time.Millisecond
 )
 
-// refusal is an answer of the router's own. Status 503 promises that the request
-// has not run and never will.
+// refusal is an answer of the router's own. Status 503, and 408, promise that the
+// request has not run and never will.
 type refusal struct {
 	status int
 	code   string
@@ -30,7 +30,7 @@
 	if c.id != "" {
 		header.Set(platform.HeaderRequestID, c.id)
 	}
-	if r.after > 0 && r.status == http.StatusServiceUnavailable {
+	if r.after > 0 {
 		header.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(r.after))
 	}
 	http.Error(w, r.code, r.status)
