--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -236,8 +236,16 @@
 
 // copies returns how many servers hold each layer.
 func (s *state) copies() []int {
+	return s.copiesAt(func(int) bool { return true })
+}
+
+// copiesAt returns how many of the chosen servers hold each layer.
+func (s *state) copiesAt(chosen func(index int) bool) []int {
 	copies := make([]int, s.engine.Layers)
-	for _, server := range s.servers {
+	for i, server := range s.servers {
+		if !chosen(i) {
+			continue
+		}
 		for layer := max(0, server.Layers.First); layer < min(server.Layers.End, s.engine.Layers); layer++ {
 			copies[layer]++
 		}
--- a/internal/placement/shift.go
+++ b/internal/placement/shift.go
@@ -22,18 +22,12 @@
 // heldWithout tells whether all layers of a server are held by others for sure:
 // one that carries out an order may be giving them up, or not have them yet.
 func (s *state) heldWithout(index int) bool {
-	held := make([]bool, s.engine.Layers)
-	for i, server := range s.servers {
-		if i == index || server.Fixed || s.changed(i) {
-			continue
-		}
-		for layer := max(0, server.Layers.First); layer < min(server.Layers.End, s.engine.Layers); layer++ {
-			held[layer] = true
-		}
-	}
+	copies := s.copiesAt(func(other int) bool {
+		return other != index && !s.servers[other].Fixed && !s.changed(other)
+	})
 	layers := s.servers[index].Layers
 	for layer := max(0, layers.First); layer < min(layers.End, s.engine.Layers); layer++ {
-		if !held[layer] {
+		if copies[layer] == 0 {
 			return false
 		}
 	}
