Poison: attribute a crash from the state in which it was first noticed

Callers saw a good answer end with request-quarantined: it shared a crashed runner with a poisoned one. Each session noticed the crash by itself and left the runner at once; where the poisoned one was first, the good one seemed to be alone there.

CrashTracker.Attributable takes the crashed incarnation and answers all its sessions from the suspects that ran there at the first call. TestCrashNoticedLastQuarantinesNone plays both orders; with the live state in place of the kept one it fails with 'poison first'.

--- a/internal/engine/crashcheck.go
+++ b/internal/engine/crashcheck.go
@@ -19,12 +19,6 @@
 // without the pool's lock and then, if the runner crashed, calls Attributable with
 // the lock held.
 //
-// Known fault (TestScripts/poison in KNOWN-RED.txt): the order in which two sessions
-// call Attributable can decide which of them is quarantined. A session that has
-// meanwhile left its path or ended no longer counts as running on the crashed
-// runner, so the crash can be attributed to the session that calls Attributable
-// last, even if the other one caused it.
-//
 // There is no check after a heartbeat timeout, for a runner that is no longer in
 // the fleet, or if the session's last step was sent to another runner.
 func (d *driver) checkCrash(ctx context.Context, id runner.ID) {
@@ -42,7 +36,7 @@
 	}
 	p.mu.Lock()
 	request := d.request.Fingerprint
-	recorded := p.crashTracker.RecordCrash(time.Now(), request, incarnation, p.crashTracker.Attributable(request, id))
+	recorded := p.crashTracker.RecordCrash(time.Now(), request, incarnation, p.crashTracker.Attributable(request, id, incarnation))
 	notify := p.onCrash
 	p.mu.Unlock()
 	if recorded {
--- a/internal/engine/crashtracker.go
+++ b/internal/engine/crashtracker.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/runner"
@@ -59,12 +60,17 @@
 	crashTimes map[string]time.Time
 	// running holds the suspects that run on each runner.
 	running map[runner.ID]map[Fingerprint]occupancy
+	// crashed holds the suspects that ran on each crashed incarnation when its crash
+	// was first noticed. Sessions notice a crash one after the other, and leave the
+	// runner as soon as they have.
+	crashed map[string]map[Fingerprint]occupancy
 }
 
 // NewCrashTracker returns a tracker without recorded crashes.
 func NewCrashTracker() *CrashTracker {
 	return &CrashTracker{
-		suspects: map[Fingerprint]*suspect{}, crashTimes: map[string]time.Time{}, running: map[runner.ID]map[Fingerprint]occupancy{},
+		suspects: map[Fingerprint]*suspect{}, crashTimes: map[string]time.Time{},
+		running: map[runner.ID]map[Fingerprint]occupancy{}, crashed: map[string]map[Fingerprint]occupancy{},
 	}
 }
 
@@ -131,11 +137,17 @@
 	return ok && len(entry.incarnations) >= quarantineCrashes && now.Sub(entry.lastCrash) < suspectTTL
 }
 
-// Attributable reports whether a crash of a runner can be attributed to a suspect:
-// no other suspect runs there, or this one is exclusive there and no other is.
-func (t *CrashTracker) Attributable(request Fingerprint, id runner.ID) bool {
-	exclusive := t.running[id][request].exclusive
-	for other, p := range t.running[id] {
+// Attributable reports whether the crash of a runner's incarnation can be attributed to
+// a suspect: no other suspect ran there, or this one was exclusive there and no other
+// was. All calls for one incarnation are answered from the state at the first of them.
+func (t *CrashTracker) Attributable(request Fingerprint, id runner.ID, incarnation string) bool {
+	suspects, ok := t.crashed[incarnation]
+	if !ok {
+		suspects = maps.Clone(t.running[id])
+		t.crashed[incarnation] = suspects
+	}
+	exclusive := suspects[request].exclusive
+	for other, p := range suspects {
 		if other != request && (p.exclusive || !exclusive) {
 			return false
 		}
@@ -203,6 +215,7 @@
 	for incarnation, at := range t.crashTimes {
 		if now.Sub(at) >= suspectTTL {
 			delete(t.crashTimes, incarnation)
+			delete(t.crashed, incarnation)
 		}
 	}
 }
--- a/internal/engine/crashtracker_test.go
+++ b/internal/engine/crashtracker_test.go
@@ -37,8 +37,8 @@
 	assert.Assert(t, tracker.CanStart(poison, "second"))
 	tracker.Acquire(poison, hops("second"))
 	assert.Assert(t, !tracker.CanStart(late, "second"))
-	tracker.RecordCrash(now, poison, "second", tracker.Attributable(poison, "second"))
-	tracker.RecordCrash(now, good, "second", tracker.Attributable(good, "second"))
+	tracker.RecordCrash(now, poison, "second", tracker.Attributable(poison, "second", "second"))
+	tracker.RecordCrash(now, good, "second", tracker.Attributable(good, "second", "second"))
 	assert.Assert(t, tracker.IsQuarantined(now, poison))
 	assert.Assert(t, !tracker.IsQuarantined(now, good))
 	assert.Assert(t, !tracker.IsQuarantined(now, late))
@@ -57,7 +57,7 @@
 		tracker.RecordProgress(request)
 	}
 	for _, request := range []Fingerprint{1, 2} {
-		tracker.RecordCrash(now, request, "second", tracker.Attributable(request, "second"))
+		tracker.RecordCrash(now, request, "second", tracker.Attributable(request, "second", "second"))
 		assert.Assert(t, !tracker.IsQuarantined(now, request))
 	}
 	tracker.Release(1)
@@ -65,11 +65,35 @@
 	tracker.Acquire(1, hops("third"))
 	tracker.RecordProgress(1)
 	assert.Assert(t, !tracker.CanStart(2, "third"))
-	tracker.RecordCrash(now, 1, "third", tracker.Attributable(1, "third"))
+	tracker.RecordCrash(now, 1, "third", tracker.Attributable(1, "third", "third"))
 	assert.Assert(t, tracker.IsQuarantined(now, 1))
 	assert.Assert(t, !tracker.IsQuarantined(now, 2))
 }
 
+// TestCrashNoticedLastQuarantinesNone guards against quarantining a request because the
+// one that caused the crash noticed it first and has left the runner.
+func TestCrashNoticedLastQuarantinesNone(t *testing.T) {
+	for name, order := range map[string][]Fingerprint{"poison first": {1, 2}, "good first": {2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tracker := NewCrashTracker()
+			const poison, good = 1, 2
+			for _, request := range order {
+				tracker.RecordCrash(now, request, "first", true)
+			}
+			tracker.Acquire(good, hops("second"))
+			tracker.RecordProgress(good)
+			tracker.Acquire(poison, hops("second"))
+			for _, request := range order {
+				tracker.RecordCrash(now, request, "second", tracker.Attributable(request, "second", "second"))
+				tracker.Release(request)
+			}
+			assert.Assert(t, tracker.IsQuarantined(now, poison))
+			assert.Assert(t, !tracker.IsQuarantined(now, good))
+		})
+	}
+}
+
 // TestMassCrashQuarantinesNone guards against quarantining a request when many
 // runners crash at once, as when a rack loses power.
 func TestMassCrashQuarantinesNone(t *testing.T) {
