--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -18,6 +18,7 @@
 type reservation struct {
 	path     pipeline.Path
 	inFlight *backend.InFlightRequest
+	queued   time.Duration // how long the request waited for it
 }
 
 // noCapacityError reports a rejection: the wait for capacity reaches the time that the
@@ -75,6 +76,7 @@
 	}
 	select {
 	case granted := <-w.reserved:
+		granted.queued = time.Since(w.enqueued)
 		return granted, nil
 	case <-w.rejected:
 		return reservation{}, &noCapacityError{retryAfter: w.retryAfter, waited: time.Since(w.enqueued), cause: w.lastErr}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -42,7 +42,7 @@
 	if err != nil && s.notRunCause == nil && ctx.Err() == nil {
 		go s.gateway.checkCrash(s.call, reserved.inFlight.Backend)
 	}
-	s.logAttempt(path, started, err)
+	s.logAttempt(reserved, started, err)
 	return outcome, err
 }
 
@@ -208,7 +208,8 @@
 	return nil
 }
 
-func (s *stream) logAttempt(path pipeline.Path, started time.Time, err error) {
+func (s *stream) logAttempt(reserved reservation, started time.Time, err error) {
+	path := reserved.path
 	outcome := "answered"
 	if err != nil {
 		outcome = "broken"
@@ -218,6 +219,7 @@
 	}
 	s.gateway.Logger.Info("request sent", zap.String("request", s.call.id), zap.String("backend", string(path.IDs[0])),
 		zap.String("path", platform.FormatPath(path.Hops)), zap.Int("try", s.call.attempts),
+		zap.Duration("queued-ms", reserved.queued), zap.Int("first-stage-load", path.FirstStageRequests), zap.Duration("predicted-token-ms", path.Cost),
 		zap.Duration("took-ms", time.Since(started)), zap.Int64("last-event", s.lastEventID),
 		zap.String("outcome", outcome), zap.NamedError("cause", err))
 }
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -101,6 +101,8 @@
 	// Cost is the predicted time of one token over the whole path, plus penalties for
 	// zone crossings, crowded stages and queueing.
 	Cost time.Duration
+	// FirstStageRequests is the estimated load of the first stage when the path was chosen.
+	FirstStageRequests int
 }
 
 // ZoneCrossings returns how many hops of the path are in another zone than the hop before.
@@ -260,9 +262,20 @@
 		at, stage = hop.from, hop.previous
 	}
 	reverse(path)
+	path.FirstStageRequests = s.first(path).Requests
 	return path, true
 }
 
+// first returns the first stage of a path.
+func (s *search) first(path Path) Stage {
+	for _, stage := range s.stages {
+		if stage.ID == path.IDs[0] {
+			return stage
+		}
+	}
+	return Stage{}
+}
+
 func reverse(path Path) {
 	for i, j := 0, len(path.Hops)-1; i < j; i, j = i+1, j-1 {
 		path.Hops[i], path.Hops[j] = path.Hops[j], path.Hops[i]
