--- a/internal/experiment/placement.go
+++ b/internal/experiment/placement.go
@@ -120,8 +120,12 @@
 // accelerator returns the accelerator of a backend server by the kind that its ID
 // starts with.
 func accelerator(engine *deployment.Engine, id deployment.BackendID) deployment.Accelerator {
+	return engine.Accelerators[cardName(id)]
+}
+
+func cardName(id deployment.BackendID) string {
 	kind, _, _ := strings.Cut(string(id), "-")
-	return engine.Accelerators[kind]
+	return kind
 }
 
 // stagesOf returns the pipeline stages of a placement.
