Load of each stage, not of each zone; a first stage gets no more than its slots

A stage's load was this instance's own plus all requests of the zone, and extrapolated over the instances of all zones; requests beyond the slots waited in a first stage's own queue; the limit after a rejection was each instance's own count, too coarse for 88 instances; a path could cross zones because a stage was full for a moment.

- Instances tell their zone their requests by backend server; one instance of each zone tells the others the sum, which is relayed there.
- A stage is full at its slots (as first stage), at 0.92 of its request memory, or at a limit on the requests of all instances after a rejection.
A zone whose stages are full is waited for; paths cross zones only if no zone holds all layers.
- A reroute keeps stages that are full: their zone was taken for unknown, which refused it.
- The queue's round goes on behind a request bound to its first stages.
- Slow paths are found by each stream's own prediction, not by that of one of them.

Tests changed: entries of fleet_test have 192 slots where they hold layers, as on the platform (with 4 the new limit would end each test early); TestPeerRequests becomes TestOthersOnStage, by stage and with more cases.

--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -21,14 +21,15 @@
 	// fullLimitFactor is the fraction of its in-flight requests to which a stage at
 	// capacity is limited.
 	fullLimitFactor = 0.95
-	// limitGrowthPerSecond is by how many requests the limit of a stage grows in
-	// each second since the stage was at capacity.
+	// limitGrowthPerSecond is by how many requests of each instance the limit of a stage
+	// grows in each second since the stage was at capacity.
 	limitGrowthPerSecond = 1.0
 )
 
 // MarkFull records that a stage rejected a request because it is at capacity. The
-// stage gets no new requests for a short time. After that, this instance keeps
-// slightly fewer requests on it than were in flight, and raises that limit over time.
+// stage gets no new requests for a short time. After that, this instance sends it one
+// only while all instances together have slightly fewer on it than were in flight, and
+// raises that limit over time.
 func (f *Fleet) MarkFull(now time.Time, address deployment.Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -40,7 +41,7 @@
 	s.avoidUntil = later(s.avoidUntil, now.Add(rejectionBackoff(s.rejections)))
 	if now.Sub(s.fullAt) >= fullBackoff {
 		s.fullAt = now
-		s.limit = max(1, float64(s.inFlight)*fullLimitFactor)
+		s.limit = max(1, float64(f.requestsOn(s))*fullLimitFactor)
 	}
 }
 
@@ -80,10 +81,16 @@
 	return b
 }
 
-// hasCapacity reports whether this instance may send one more request to a stage.
-func (s *server) hasCapacity(now time.Time) bool {
+// hasCapacity reports whether a stage with some requests of all instances may get one more.
+func (f *Fleet) hasCapacity(now time.Time, s *server, requests int) bool {
 	if s.fullAt.IsZero() {
 		return true
 	}
-	return float64(s.inFlight) < s.limit+limitGrowthPerSecond*now.Sub(s.fullAt).Seconds()
+	growth := limitGrowthPerSecond * float64(f.load.instancesInZone) * now.Sub(s.fullAt).Seconds()
+	return float64(requests) < s.limit+growth
+}
+
+// requestsOn estimates the requests of all instances on a stage.
+func (f *Fleet) requestsOn(s *server) int {
+	return s.inFlight + f.load.othersOn(s.ID, s.inFlight)
 }
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -27,7 +27,7 @@
 	suspectSince   time.Time // zero if it is not suspected
 	missingSince   time.Time // zero while it is listed
 	fullAt         time.Time // when the limit was last reduced, zero if it never was
-	limit          float64   // on the requests of this instance, as of fullAt
+	limit          float64   // on the requests of all instances, as of fullAt
 	rejections     int       // consecutive
 	rejectingSince time.Time // first of the consecutive rejections
 	firstEvent     firstEventTime
@@ -52,39 +52,70 @@
 	unlisted map[deployment.BackendID]unlistedServer
 	synced   bool
 	outageAt time.Time // last time at which the list could not be read
-	load     zoneLoad
+	load     sharedLoad
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
 	return &Fleet{
-		servers: map[deployment.BackendID]*server{}, unlisted: map[deployment.BackendID]unlistedServer{}, load: newZoneLoad(),
+		servers: map[deployment.BackendID]*server{}, unlisted: map[deployment.BackendID]unlistedServer{}, load: newSharedLoad(),
 	}
 }
 
-// SetInstanceCount sets the number of instances that send requests, including this one.
-func (f *Fleet) SetInstanceCount(count int) {
+// SetInstanceCounts sets the number of instances that send requests in all zones and in
+// this one, including this instance.
+func (f *Fleet) SetInstanceCounts(total, inZone int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.load.instances = max(1, count)
+	f.load.instances = max(1, total)
+	f.load.instancesInZone = max(1, inZone)
 }
 
-// SnapshotLoads returns the number of in-flight requests of this instance by the zone
-// in which their paths begin. The caller must send the result to the other instances:
-// later load estimates assume that they know it.
-func (f *Fleet) SnapshotLoads() map[deployment.Zone]int {
+// SnapshotLoads returns the number of requests of this instance that are in flight on each
+// stage. The caller must send the result to the other instances of the zone: later load
+// estimates assume that they know it.
+func (f *Fleet) SnapshotLoads() StageLoads {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.load.snapshot()
+	f.load.reported = f.ownLoads()
+	return f.load.reported
 }
 
-// SetPeerLoads stores the loads received from another instance.
-func (f *Fleet) SetPeerLoads(now time.Time, instance deployment.InstanceID, loads map[deployment.Zone]int) {
+func (f *Fleet) ownLoads() StageLoads {
+	loads := StageLoads{}
+	for id, s := range f.servers {
+		if s.Accelerator != "" && s.inFlight > 0 {
+			loads[id] = s.inFlight
+		}
+	}
+	return loads
+}
+
+// ZoneLoads returns the number of requests of all instances of this zone that are in flight
+// on each stage, as far as they have reported them.
+func (f *Fleet) ZoneLoads(now time.Time) StageLoads {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load.expire(now)
+	loads := f.ownLoads()
+	loads.add(f.load.peerSum, 1)
+	return loads
+}
+
+// SetPeerLoads stores the loads received from another instance of this zone.
+func (f *Fleet) SetPeerLoads(now time.Time, instance deployment.InstanceID, loads StageLoads) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.load.setPeer(now, instance, loads)
 }
 
+// SetZoneLoads stores the loads of all instances of another zone.
+func (f *Fleet) SetZoneLoads(now time.Time, zone deployment.Zone, loads StageLoads) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load.setZone(now, zone, loads)
+}
+
 // Synced reports whether the backend list has been read at least once.
 func (f *Fleet) Synced() bool {
 	f.mu.Lock()
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -17,9 +17,15 @@
 	service = &deployment.Service{Name: "svc", Engine: &deployment.Engine{Layers: 80}}
 )
 
+// entry returns a backend server of a model that holds some layers, or of a plain service
+// if they are none.
 func entry(id deployment.BackendID, first, end int) deployment.Backend {
+	slots, accelerator := 4, ""
+	if end > first {
+		slots, accelerator = 192, "card"
+	}
 	return deployment.Backend{
-		ID: id, Service: "svc", Address: deployment.Address(id) + ":80", Zone: "a", Slots: 4,
+		ID: id, Service: "svc", Address: deployment.Address(id) + ":80", Zone: "a", Slots: slots, Accelerator: accelerator,
 		Layers: deployment.LayerRange{First: first, End: end}, StartedAt: start,
 	}
 }
@@ -109,6 +115,26 @@
 	assert.Equal(t, len(f.Stages(start.Add(10*time.Second), service)), 1)
 }
 
+// TestFirstStageGetsNoMoreThanItsSlots guards against requests that wait in the queue of a
+// first stage, where neither their order nor their rejection is decided here.
+func TestFirstStageGetsNoMoreThanItsSlots(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 40), entry("i-2", 40, 80))
+	f.SetInstanceCounts(2, 2)
+	f.SetPeerLoads(start, "peer", StageLoads{"i-1": 100, "i-2": 100})
+	sent := 0
+	for ; len(f.Stages(start, service)) == 2; sent++ {
+		_, ok := f.Begin(pathOf("i-1", "i-2"))
+		assert.Assert(t, ok)
+		f.SnapshotLoads()
+	}
+	assert.Equal(t, sent, 92)
+	all := f.StagesWithFull(start, service)
+	assert.Equal(t, len(all), 2)
+	for _, stage := range all {
+		assert.Equal(t, stage.Full, stage.ID == "i-1", "slots limit only what a first stage receives")
+	}
+}
+
 // TestConsecutiveRejectionsMakeUnavailable checks that a stage that rejects every
 // request is reported as unavailable until it accepts one.
 func TestConsecutiveRejectionsMakeUnavailable(t *testing.T) {
@@ -224,7 +250,7 @@
 	var last *InFlightRequest
 	for range instances {
 		f := fleetOf(entry("i-1", 0, 40), entry("i-2", 40, 80))
-		f.SetInstanceCount(instances)
+		f.SetInstanceCounts(instances, instances)
 		for len(f.Stages(start, model)) == 2 {
 			request, ok := f.Begin(pathOf("i-1", "i-2"))
 			assert.Assert(t, ok)
@@ -244,7 +270,7 @@
 // if the connection limit is lower than the number of instances.
 func TestConnectionLimitIsAtLeastOne(t *testing.T) {
 	f := fleetOf(entry("i-1", 0, 0))
-	f.SetInstanceCount(9)
+	f.SetInstanceCounts(9, 3)
 	plain := &deployment.Service{Name: "svc", MaxConnections: 4}
 	request, ok := f.Pick(start, plain, "a", nil)
 	assert.Assert(t, ok)
--- a/internal/backend/inflight.go
+++ b/internal/backend/inflight.go
@@ -15,7 +15,6 @@
 	// servers is the state when the request began. A server that has restarted since
 	// has a new state, which Done must not change.
 	servers []*server
-	onPath  bool // set by Begin: the request is counted in the zone load
 }
 
 // Result is the outcome of a request as recorded for the ejection of the backend server.
@@ -32,9 +31,6 @@
 func (r *InFlightRequest) Done(now time.Time, result Result) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	if r.onPath {
-		r.fleet.load.own[r.Backend.Zone]--
-	}
 	for i, s := range r.servers {
 		s.inFlight--
 		if i > 0 {
@@ -141,7 +137,7 @@
 	if !ok {
 		return nil, false
 	}
-	request := &InFlightRequest{Backend: first.Backend, fleet: f, onPath: true}
+	request := &InFlightRequest{Backend: first.Backend, fleet: f}
 	for _, id := range path.IDs {
 		if s, ok := f.servers[id]; ok {
 			s.inFlight++
@@ -149,6 +145,5 @@
 		}
 	}
 	first.connections++
-	f.load.own[first.Zone]++
 	return request, true
 }
--- a/internal/backend/load_test.go
+++ b/internal/backend/load_test.go
@@ -29,7 +29,7 @@
 		fast.Zone, fast.Accelerator = "b", "fast"
 		slow.Zone, slow.Accelerator = "c", "slow"
 		f := fleetOf(fast, slow)
-		f.SetInstanceCount(instances)
+		f.SetInstanceCounts(instances, instances)
 		for range rerouted {
 			path, ok := pipeline.Find(engine, f.Stages(start, model), "a")
 			assert.Assert(t, ok)
@@ -42,15 +42,21 @@
 	assert.Assert(t, total["c"] >= instances*rerouted/4, "%v", total)
 }
 
-func TestPeerRequests(t *testing.T) {
-	l := newZoneLoad()
-	l.instances = 5
-	l.setPeer(start, "p1", map[deployment.Zone]int{"a": 10})
-	l.setPeer(start, "p2", map[deployment.Zone]int{"a": 20})
-	assert.Equal(t, l.peerRequests(start, "a"), 60, "two of four peers have reported")
-	l.own["a"] = 3
-	assert.Equal(t, l.peerRequests(start, "a"), 72, "each peer is assumed to add as many")
-	l.snapshot()
-	assert.Equal(t, l.peerRequests(start, "a"), 60)
-	assert.Equal(t, l.peerRequests(start.Add(2*peerLoadMaxAge), "a"), 0)
+func TestOthersOnStage(t *testing.T) {
+	l := newSharedLoad()
+	l.instances, l.instancesInZone = 9, 5
+	l.setPeer(start, "p1", StageLoads{"a": 10, "b": 1})
+	l.setPeer(start, "p2", StageLoads{"a": 20})
+	assert.Equal(t, l.othersOn("a", 0), 60, "two of four peers have reported")
+	assert.Equal(t, l.othersOn("b", 0), 2, "each stage by itself")
+	assert.Equal(t, l.othersOn("a", 1), 60, "one more is a steady load")
+	assert.Equal(t, l.othersOn("a", 3), 68, "each peer is assumed to add as many")
+	l.reported = StageLoads{"a": 3}
+	assert.Equal(t, l.othersOn("a", 3), 60)
+	l.setZone(start, "other", StageLoads{"a": 7})
+	assert.Equal(t, l.othersOn("a", 3), 67, "other zones report a sum, which is not extrapolated")
+	l.setPeer(start, "p1", StageLoads{"a": 0})
+	assert.Equal(t, l.othersOn("a", 3), 47, "a report replaces the one before")
+	l.expire(start.Add(2 * peerLoadMaxAge))
+	assert.Equal(t, l.othersOn("a", 3), 0)
 }
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -43,30 +43,49 @@
 
 // Stages returns the stages of a model service that may get new requests.
 func (f *Fleet) Stages(now time.Time, service *deployment.Service) []pipeline.Stage {
+	var stages []pipeline.Stage
+	for _, stage := range f.StagesWithFull(now, service) {
+		if !stage.Full {
+			stages = append(stages, stage)
+		}
+	}
+	return stages
+}
+
+// StagesWithFull returns the stages of a model service that may get new requests and,
+// marked as full, those that are expected to soon.
+func (f *Fleet) StagesWithFull(now time.Time, service *deployment.Service) []pipeline.Stage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.load.expire(now)
 	var stages []pipeline.Stage
-	peerRequests := map[deployment.Zone]int{}
 	for _, s := range f.servers {
 		layers := s.availableLayers(now)
-		if s.Service != service.Name || layers.Len() == 0 || !s.usable(now) || !s.hasCapacity(now) {
-			continue
-		}
-		if layers.First == 0 && !f.mayConnect(s, service) {
+		if s.Service != service.Name || layers.Len() == 0 || s.Draining || !s.suspectSince.IsZero() {
 			continue
 		}
-		if _, known := peerRequests[s.Zone]; !known {
-			peerRequests[s.Zone] = f.load.peerRequests(now, s.Zone)
-		}
-		stages = append(stages, pipeline.Stage{
+		stage := pipeline.Stage{
 			ID: s.ID, Address: s.Address, Zone: s.Zone, Layers: layers,
-			Accelerator: service.Engine.Accelerators[s.Accelerator], Requests: s.inFlight + peerRequests[s.Zone], Slowdown: s.slowdown(now),
-			TimeToFirstEvent: s.firstEvent.expected(now),
-		})
+			Accelerator: service.Engine.Accelerators[s.Accelerator], Slowdown: s.slowdown(now),
+			Requests: f.requestsOn(s), TimeToFirstEvent: s.firstEvent.expected(now),
+		}
+		stage.Full = !f.mayStart(now, s, service, &stage)
+		stages = append(stages, stage)
 	}
 	return stages
 }
 
+// mayStart reports whether this instance may send one more request through a stage.
+func (f *Fleet) mayStart(now time.Time, s *server, service *deployment.Service, stage *pipeline.Stage) bool {
+	if now.Before(s.avoidUntil) || !f.hasCapacity(now, s, stage.Requests) || !pipeline.HasMemory(service.Engine, stage) {
+		return false
+	}
+	if stage.Layers.First > 0 {
+		return true
+	}
+	return f.mayConnect(s, service) && (s.Slots == 0 || stage.Requests < s.Slots)
+}
+
 // ServerStatus is a backend server of a model service, with how long it has been
 // unavailable: it is unresponsive or rejects every request.
 type ServerStatus struct {
--- a/internal/experiment/zoneload.go
+++ b/internal/experiment/zoneload.go
@@ -212,7 +212,7 @@
 			id: deployment.InstanceID(fmt.Sprintf("instance-%03d", i)), fleet: backend.NewFleet(), waiting: map[*admission.Request]*simulatedRequest{},
 		}
 		instance.fleet.Replace(start, entries)
-		instance.fleet.SetInstanceCount(config.Instances)
+		instance.fleet.SetInstanceCounts(config.Instances, config.Instances)
 		s.instances = append(s.instances, instance)
 	}
 	return s
@@ -258,7 +258,7 @@
 // the path was found and no stage has rejected the request.
 func (s *zoneSimulation) send(request *simulatedRequest) bool {
 	fleet := request.instance.fleet
-	path, ok := pipeline.Find(s.config.Engine, fleet.Stages(s.now, s.service), s.config.Zone.Zone)
+	path, ok := pipeline.Find(s.config.Engine, fleet.StagesWithFull(s.now, s.service), s.config.Zone.Zone)
 	if !ok {
 		return false
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -41,6 +41,8 @@
 	ready(now time.Time) error
 	// reserve finds a path and counts the request on it.
 	reserve(now time.Time) (reservation, error)
+	// restricted reports whether other requests may find a path where this one finds none.
+	restricted() bool
 }
 
 // waiter is a request in the queue of a model service.
@@ -142,7 +144,10 @@
 		}
 		var result reservation
 		if result, w.lastErr = w.reserver.reserve(now); w.lastErr != nil {
-			break // assumes that the requests behind it would find no path either
+			if w.reserver.restricted() {
+				continue
+			}
+			break // the requests behind it would find no path either
 		}
 		q.admission.Admit(now, request)
 		delete(q.waiters, request)
--- a/internal/gateway/slowdown.go
+++ b/internal/gateway/slowdown.go
@@ -29,25 +29,31 @@
 // pathProgress sums up the streams whose paths begin at one stage, since the last
 // measurement.
 type pathProgress struct {
-	path    pipeline.Path // of one of the streams
-	stride  int
-	streams int
-	events  int64
+	slowest  pipeline.Path // of the stream with the fewest events for its prediction
+	progress float64       // of that stream, events for one predicted
+	streams  int
+	events   float64
+	expected float64 // events, at the predicted time of a token on each stream's own path
 }
 
-// isSlow reports whether the streams' event interval is much longer than predicted for
-// the path. Without any event they are not considered slow but stalled, which scan
-// detects.
-func (p *pathProgress) isSlow(elapsed time.Duration) bool {
-	if p.streams < minSlowPathStreams || p.events == 0 {
-		return false
+// record adds a stream that got some events in a time.
+func (p *pathProgress) record(path pipeline.Path, stride int, events int64, elapsed time.Duration) {
+	expected := float64(elapsed) / (float64(path.Cost) * float64(stride))
+	if progress := float64(events) / expected; p.streams == 0 || progress < p.progress {
+		p.slowest, p.progress = path, progress
 	}
-	interval := float64(elapsed) * float64(p.streams) / float64(p.events)
-	predicted := float64(p.path.Cost) * float64(p.stride)
-	return interval > slowPathFactor*predicted
+	p.streams++
+	p.events += float64(events)
+	p.expected += expected
 }
 
-// slowPaths returns, for each first stage with slow streams, the path of one of them. It
+// isSlow reports whether the streams got far fewer events than predicted for their paths.
+// Without any event they are not considered slow but stalled, which scan detects.
+func (p *pathProgress) isSlow() bool {
+	return p.streams >= minSlowPathStreams && p.events > 0 && p.expected > slowPathFactor*p.events
+}
+
+// slowPaths returns, for each first stage with slow streams, the path of the slowest. It
 // measures at most every slowdownProbeInterval/2 (750 ms) and returns none in between.
 func (m *streamMonitor) slowPaths(now time.Time) []pipeline.Path {
 	m.mu.Lock()
@@ -65,16 +71,15 @@
 		path := stream.path()
 		p, ok := paths[path.IDs[0]]
 		if !ok {
-			p = &pathProgress{path: path, stride: stream.call.service.Engine.Stride}
+			p = &pathProgress{}
 			paths[path.IDs[0]] = p
 		}
-		p.streams++
-		p.events += stream.events.Swap(0)
+		p.record(path, stream.call.service.Engine.Stride, stream.events.Swap(0), elapsed)
 	}
 	var slow []pipeline.Path
 	for _, p := range paths {
-		if p.isSlow(elapsed) {
-			slow = append(slow, p.path)
+		if p.isSlow() {
+			slow = append(slow, p.slowest)
 		}
 	}
 	return slow
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -209,8 +209,8 @@
 // request reaches the route's MaxAttempts, only these are allowed as first stage.
 func (s *stream) findPath(now time.Time) (pipeline.Path, error) {
 	service := s.call.service
-	stages := s.gateway.Fleet.Stages(now, service)
-	if len(s.ran) >= s.call.decision.Route.MaxAttempts {
+	stages := s.gateway.Fleet.StagesWithFull(now, service)
+	if s.restricted() {
 		stages = s.allowedStages(stages)
 	}
 	path, ok := pipeline.Find(service.Engine, stages, s.gateway.Settings.Zone)
@@ -221,6 +221,9 @@
 	return path, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
 }
 
+// restricted reports whether the stream must begin at a first stage that may have run it.
+func (s *stream) restricted() bool { return len(s.ran) >= s.call.decision.Route.MaxAttempts }
+
 // noPathError reports the layers that no usable stage holds.
 type noPathError struct {
 	missing []deployment.LayerRange
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -213,7 +213,7 @@
 	if len(suspects) != 1 {
 		return reservation{}, false
 	}
-	stages := m.config.Fleet.Stages(now, service)
+	stages := m.config.Fleet.StagesWithFull(now, service)
 	rerouted, ok := pipeline.Reroute(service.Engine, stages, path, suspects[0])
 	if !ok || pipeline.Check(service.Engine, rerouted.Hops) != "" {
 		return reservation{}, false
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -81,8 +81,10 @@
 	case LayersOrdered:
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
+	case StageLoads:
+		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads)}
 	case ZoneLoads:
-		wire.ZoneLoads = zoneLoadsToWire(m)
+		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads)}
 	case Slowdown:
 		wire.Slowdown = &wireSlowdown{Backend: string(m.Backend), Factor: m.Factor}
 	case ForwardRequest:
@@ -145,8 +147,10 @@
 	case wire.LayersOrdered != nil:
 		id, layers := wire.LayersOrdered.layers()
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
+	case wire.StageLoads != nil:
+		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads)}, nil
 	case wire.ZoneLoads != nil:
-		return zoneLoadsFromWire(wire.ZoneLoads), nil
+		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads)}, nil
 	case wire.Slowdown != nil:
 		return Slowdown{Backend: deployment.BackendID(wire.Slowdown.Backend), Factor: wire.Slowdown.Factor}, nil
 	case wire.ForwardRequest != nil:
@@ -165,20 +169,20 @@
 	return nil, nil
 }
 
-func zoneLoadsToWire(m ZoneLoads) map[string]int {
-	wire := make(map[string]int, len(m.Loads))
-	for zone, count := range m.Loads {
-		wire[string(zone)] = count
+func loadsToWire(loads map[deployment.BackendID]int) map[string]int {
+	wire := make(map[string]int, len(loads))
+	for id, count := range loads {
+		wire[string(id)] = count
 	}
 	return wire
 }
 
-func zoneLoadsFromWire(wire map[string]int) ZoneLoads {
-	m := ZoneLoads{Loads: make(map[deployment.Zone]int, len(wire))}
-	for zone, count := range wire {
-		m.Loads[deployment.Zone(zone)] = count
+func loadsFromWire(wire map[string]int) map[deployment.BackendID]int {
+	loads := make(map[deployment.BackendID]int, len(wire))
+	for id, count := range wire {
+		loads[deployment.BackendID(id)] = count
 	}
-	return m
+	return loads
 }
 
 func layersToWire(id deployment.BackendID, layers deployment.LayerRange) *wireLayers {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -169,10 +169,17 @@
 	Refused bool // the backend server rejected the order, which is withdrawn
 }
 
-// ZoneLoads reports how many requests of the sender are in flight along paths that
-// begin in each zone.
+// StageLoads reports how many requests of the sender are in flight on each backend server
+// of a model.
+type StageLoads struct {
+	Loads map[deployment.BackendID]int
+}
+
+// ZoneLoads reports how many requests of all instances of a zone are in flight on each
+// backend server of a model.
 type ZoneLoads struct {
-	Loads map[deployment.Zone]int
+	Zone  deployment.Zone
+	Loads map[deployment.BackendID]int
 }
 
 // Slowdown reports the slowdown factor of a backend server of a model: how many times
@@ -222,6 +229,7 @@
 func (LeaseHolder) isMessage()         {}
 func (LayersHeld) isMessage()          {}
 func (LayersOrdered) isMessage()       {}
+func (StageLoads) isMessage()          {}
 func (ZoneLoads) isMessage()           {}
 func (Slowdown) isMessage()            {}
 func (ForwardRequest) isMessage()      {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -103,6 +103,15 @@
 	Refused bool   `cbor:"4,keyasint,omitempty"`
 }
 
+type wireStageLoads struct {
+	Loads map[string]int `cbor:"1,keyasint"`
+}
+
+type wireZoneLoads struct {
+	Zone  string         `cbor:"1,keyasint"`
+	Loads map[string]int `cbor:"2,keyasint"`
+}
+
 type wireSlowdown struct {
 	Backend string  `cbor:"1,keyasint"`
 	Factor  float64 `cbor:"2,keyasint"`
@@ -115,6 +124,7 @@
 	Value  []byte // nil if the key was deleted
 }
 
+// wireMessage has one field set. Number 20 was the load by zone and must not be used again.
 type wireMessage struct {
 	Hello               *wireHello               `cbor:"1,keyasint,omitempty"`
 	Heartbeat           *bool                    `cbor:"2,keyasint,omitempty"`
@@ -135,5 +145,6 @@
 	LayersHeld          *wireLayers              `cbor:"17,keyasint,omitempty"`
 	Slowdown            *wireSlowdown            `cbor:"18,keyasint,omitempty"`
 	LayersOrdered       *wireLayers              `cbor:"19,keyasint,omitempty"`
-	ZoneLoads           map[string]int           `cbor:"20,keyasint,omitempty"`
+	StageLoads          *wireStageLoads          `cbor:"21,keyasint,omitempty"`
+	ZoneLoads           *wireZoneLoads           `cbor:"22,keyasint,omitempty"`
 }
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -12,6 +12,8 @@
 package pipeline
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,10 +27,11 @@
 	Zone        deployment.Zone
 	Layers      deployment.LayerRange
 	Accelerator deployment.Accelerator
-	// Requests estimates the load of the stage: this instance's requests in flight on
-	// it, plus the estimated requests of the other instances on all paths that begin in
-	// the stage's zone.
+	// Requests estimates the requests of all instances in flight on the stage.
 	Requests int
+	// Full is set while the stage must get no new requests, but is expected to accept some
+	// soon.
+	Full bool
 	// TimeToFirstEvent is the time to the first event of recent requests whose path
 	// started at this stage, 0 if unknown.
 	TimeToFirstEvent time.Duration
@@ -49,6 +52,9 @@
 	// stage costs more. fullCrowdingCost is the added cost once all of it is used.
 	crowdingThreshold = 0.7
 	fullCrowdingCost  = 40 * time.Millisecond
+	// maxMemoryUse is the used share of a stage's request memory from which on it gets no
+	// new requests, since those that it runs still grow.
+	maxMemoryUse = 0.92
 	// bytesPerMegabyte converts to deployment.Megabytes, the platform's unit of memory.
 	bytesPerMegabyte = 1e6
 	// unqueuedFirstEvent is the time to the first event of a request that does not have
@@ -63,12 +69,6 @@
 	remoteZoneCost = 5 * time.Millisecond
 )
 
-// StepCost is the cost of one token on some of a stage's layers when paths are compared:
-// the predicted time, plus a penalty if the stage is short of request memory.
-func StepCost(engine *deployment.Engine, stage Stage, layers int) time.Duration {
-	return PredictedStepTime(engine, stage, layers) + crowdingCost(engine, stage)
-}
-
 // PredictedStepTime is the predicted time of one token on some of a stage's layers, at
 // the stage's current number of requests and slowdown.
 func PredictedStepTime(engine *deployment.Engine, stage Stage, layers int) time.Duration {
@@ -83,13 +83,24 @@
 // crowdingThreshold, and then grows linearly: it is fullCrowdingCost when the memory is
 // used up, and more when the estimate exceeds the memory.
 func crowdingCost(engine *deployment.Engine, stage Stage) time.Duration {
+	used := memoryUse(engine, &stage)
+	return time.Duration(max(0, used-crowdingThreshold) / (1 - crowdingThreshold) * float64(fullCrowdingCost))
+}
+
+// memoryUse returns the share of a stage's request memory that its requests are estimated
+// to use, 0 if the memory is not known.
+func memoryUse(engine *deployment.Engine, stage *Stage) float64 {
 	free := float64(stage.Accelerator.Memory) - float64(stage.Layers.Len())*float64(engine.LayerSize)
 	perToken := engine.KVBytesPerToken / float64(engine.Layers) * float64(stage.Layers.Len()) / bytesPerMegabyte
 	if free <= 0 || perToken <= 0 {
 		return 0
 	}
-	used := float64(stage.Requests) * engine.TypicalTokens() * perToken / free
-	return time.Duration(max(0, used-crowdingThreshold) / (1 - crowdingThreshold) * float64(fullCrowdingCost))
+	return float64(stage.Requests) * engine.TypicalTokens() * perToken / free
+}
+
+// HasMemory reports whether a stage is estimated to have memory for one more request.
+func HasMemory(engine *deployment.Engine, stage *Stage) bool {
+	return memoryUse(engine, stage) < maxMemoryUse
 }
 
 // Path is a sequence of stages that runs all layers, with its predicted cost.
@@ -128,10 +139,50 @@
 	return false
 }
 
-// Find returns the path with the lowest cost for a request that entered in a zone. It
-// returns false if it finds no path of at most maxHops hops that covers all layers in
-// order, or if the cheapest one that it finds passes through a backend server twice.
+// Find returns the path with the lowest cost for a request that entered in a zone. The path
+// stays within one zone. Only if no zone holds all layers, it may cross zones. Find returns
+// false if it finds no path of at most maxHops hops that covers all layers in order on
+// stages that are not full.
 func Find(engine *deployment.Engine, stages []Stage, zone deployment.Zone) (Path, bool) {
+	byZone := map[deployment.Zone][]Stage{}
+	for _, stage := range stages {
+		byZone[stage.Zone] = append(byZone[stage.Zone], stage)
+	}
+	var best Path
+	found, complete := false, false
+	for _, inZone := range byZone {
+		complete = complete || len(MissingLayers(engine, inZone)) == 0
+		path, ok := findPath(engine, accepting(inZone), zone)
+		if ok && (!found || path.before(&best)) {
+			best, found = path, true
+		}
+	}
+	if found || complete {
+		return best, found
+	}
+	return findPath(engine, accepting(stages), zone)
+}
+
+// before reports whether a path is the better choice of two.
+func (p *Path) before(other *Path) bool {
+	if p.Cost != other.Cost {
+		return p.Cost < other.Cost
+	}
+	return p.IDs[0] < other.IDs[0]
+}
+
+// accepting returns the stages that are not full.
+func accepting(stages []Stage) []Stage {
+	var list []Stage
+	for _, stage := range stages {
+		if !stage.Full {
+			list = append(list, stage)
+		}
+	}
+	return list
+}
+
+func findPath(engine *deployment.Engine, stages []Stage, zone deployment.Zone) (Path, bool) {
 	search := newSearch(engine, stages)
 	search.run(zone)
 	return search.path()
@@ -143,10 +194,17 @@
 type search struct {
 	engine     *deployment.Engine
 	stages     []Stage
+	costs      []stageCost
 	boundaries []int
 	best       [][]arrival // by boundary, then by stage
 }
 
+// stageCost is the cost of a hop on a stage: perHop, and perLayer for each of its layers.
+type stageCost struct {
+	perHop   time.Duration
+	perLayer float64 // nanoseconds
+}
+
 // arrival is the cheapest path to a boundary whose last hop runs on a given stage.
 type arrival struct {
 	reached  bool
@@ -157,7 +215,11 @@
 }
 
 func newSearch(engine *deployment.Engine, stages []Stage) *search {
-	s := &search{engine: engine, stages: stages}
+	s := &search{engine: engine, stages: stages, costs: make([]stageCost, len(stages))}
+	for i, stage := range stages {
+		whole := PredictedStepTime(engine, stage, engine.Layers)
+		s.costs[i] = stageCost{perHop: crowdingCost(engine, stage), perLayer: float64(whole) / float64(engine.Layers)}
+	}
 	seen := map[int]bool{0: true, engine.Layers: true}
 	for _, stage := range stages {
 		seen[stage.Layers.First] = true
@@ -178,11 +240,12 @@
 
 func (s *search) run(zone deployment.Zone) {
 	for at := range s.boundaries[:len(s.boundaries)-1] {
+		arrivals := s.arrivals(at)
 		for next, stage := range s.stages {
 			if stage.Layers.First > s.boundaries[at] || stage.Layers.End <= s.boundaries[at] {
 				continue
 			}
-			previous, cost, hops, ok := s.cheapest(at, next, zone)
+			previous, cost, hops, ok := s.cheapest(at, next, zone, arrivals)
 			if ok && hops < maxHops {
 				s.extend(at, next, previous, cost, hops)
 			}
@@ -190,35 +253,64 @@
 	}
 }
 
+// arrivals returns the stages on which paths reach a boundary, the cheapest path first.
+func (s *search) arrivals(at int) []int {
+	var list []int
+	for stage, arrived := range s.best[at] {
+		if arrived.reached {
+			list = append(list, stage)
+		}
+	}
+	slices.SortFunc(list, func(a, b int) int {
+		return cmp.Or(cmp.Compare(s.best[at][a].cost, s.best[at][b].cost), cmp.Compare(a, b))
+	})
+	return list
+}
+
 // cheapest returns the cheapest path to a boundary that stage next can continue: the stage
 // of its last hop, its cost including the hop to next, and its number of hops.
-func (s *search) cheapest(at, next int, zone deployment.Zone) (previous int, cost time.Duration, hops int, ok bool) {
+func (s *search) cheapest(at, next int, zone deployment.Zone, arrivals []int) (previous int, cost time.Duration, hops int, ok bool) {
 	if s.boundaries[at] == 0 {
 		if s.stages[next].Zone != zone {
 			cost = remoteZoneCost
 		}
 		return -1, cost + queueingCost(s.stages[next].TimeToFirstEvent), 0, true
 	}
-	for from, arrived := range s.best[at] {
-		if !arrived.reached || from == next {
-			continue
-		}
+	for _, from := range arrivals {
+		arrived := s.best[at][from]
 		total := arrived.cost + HopTime
+		if ok && total >= cost {
+			break // the rest costs no less
+		}
 		if s.stages[from].Zone != s.stages[next].Zone {
 			total += zoneCrossingCost
 		}
-		if !ok || total < cost {
+		if (!ok || total < cost) && !s.passesThrough(at, from, next) {
 			previous, cost, hops, ok = from, total, arrived.hops, true
 		}
 	}
 	return previous, cost, hops, ok
 }
 
+// passesThrough reports whether the path that reaches a boundary on stage from contains a
+// stage before: a backend server may be on a path only once.
+func (s *search) passesThrough(at, from, stage int) bool {
+	for from >= 0 {
+		if from == stage {
+			return true
+		}
+		hop := s.best[at][from]
+		at, from = hop.from, hop.previous
+	}
+	return false
+}
+
 // extend records the paths on which stage next runs the layers from a boundary to each
 // later boundary that it holds, where they are cheaper than the known ones.
 func (s *search) extend(at, next, previous int, cost time.Duration, hops int) {
 	for to := at + 1; to < len(s.boundaries) && s.boundaries[to] <= s.stages[next].Layers.End; to++ {
-		total := cost + StepCost(s.engine, s.stages[next], s.boundaries[to]-s.boundaries[at])
+		layers := s.boundaries[to] - s.boundaries[at]
+		total := cost + s.costs[next].perHop + time.Duration(s.costs[next].perLayer*float64(layers))
 		current := &s.best[to][next]
 		if current.reached && current.cost <= total {
 			continue
@@ -245,12 +337,7 @@
 		return Path{}, false
 	}
 	path := Path{Cost: s.best[last][stage].cost}
-	used := map[int]bool{}
 	for at := last; at > 0; {
-		if used[stage] {
-			return Path{}, false // a backend server may be on a path only once
-		}
-		used[stage] = true
 		hop := s.best[at][stage]
 		path.Hops = append(path.Hops, deployment.Hop{
 			Address: s.stages[stage].Address,
@@ -283,8 +370,9 @@
 
 // Reroute returns a path that replaces one failed stage: its layers run on stages that are
 // not on the path yet, and all other hops stay the same, so that their stages keep the
-// state that they hold of the request. It returns false if the failed stage is the first
-// one or not on the path, or if no other stages hold its layers.
+// state that they hold of the request. stages includes full ones: those may stay on the path,
+// but do not replace the failed one. It returns false if the failed stage is the first one
+// or not on the path, or if no other stages hold its layers.
 func Reroute(engine *deployment.Engine, stages []Stage, path Path, failed deployment.Address) (Path, bool) {
 	if path.Hops[0].Address == failed || !path.Contains(failed) {
 		return Path{}, false
@@ -304,6 +392,7 @@
 			kept = Stage{ID: path.IDs[i], Address: hop.Address}
 		}
 		kept.Layers = hop.Layers
+		kept.Full = false // it has the request already
 		candidates = append(candidates, kept)
 	}
 	return Find(engine, candidates, byAddress[path.Hops[0].Address].Zone)
@@ -315,7 +404,7 @@
 	var parts []Stage
 	for _, stage := range stages {
 		part := stage.Layers.Intersect(layers)
-		if part.Len() <= 0 || path.Contains(stage.Address) {
+		if part.Len() <= 0 || stage.Full || path.Contains(stage.Address) {
 			continue
 		}
 		stage.Layers = part
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
@@ -38,9 +39,11 @@
 	overdueMargin       = 400 * time.Millisecond
 	peerRequestInterval = 250 * time.Millisecond
 	// loadInterval is the interval at which this instance broadcasts its load. An
-	// unchanged load is broadcast in every unchangedLoadTicks-th interval only.
+	// unchanged load is broadcast in every unchangedLoadTicks-th interval only. The load
+	// of the zone goes to the other zones in every zoneLoadTicks-th interval.
 	loadInterval       = 200 * time.Millisecond
 	unchangedLoadTicks = 5
+	zoneLoadTicks      = 2
 )
 
 // wireInstance is an entry of instancesTopic.
@@ -112,7 +115,7 @@
 		if err == nil {
 			list := r.decodeInstances(now, batch.Records)
 			r.mesh.SetInstances(now, list)
-			r.fleet.SetInstanceCount(1 + len(list))
+			r.fleet.SetInstanceCounts(1+len(list), 1+r.countInZone(list))
 			r.gateway.SetInstanceCount(1 + len(list))
 		} else {
 			r.logger.Debug("read of instances topic failed", zap.Error(err))
@@ -147,25 +150,67 @@
 	return list
 }
 
-// broadcastLoads broadcasts, for each zone, the number of this instance's requests in
-// flight on paths that begin there, until ctx ends.
+// countInZone returns how many instances of a list are in this zone.
+func (r *Router) countInZone(list []instancelist.Instance) int {
+	count := 0
+	for _, instance := range list {
+		if instance.Zone == instancelist.Zone(r.settings.Zone) {
+			count++
+		}
+	}
+	return count
+}
+
+// broadcastLoads sends the load of this instance to its zone, and the load of its zone to
+// the other zones, until ctx ends.
 func (r *Router) broadcastLoads(ctx context.Context) {
-	var last map[deployment.Zone]int
-	ticks := 0
+	var last backend.StageLoads
+	unchanged := 0
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	for {
+	for ticks := 1; ; ticks++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if ticks%zoneLoadTicks == 0 {
+			r.sendZoneLoads(time.Now())
+		}
 		loads := r.fleet.SnapshotLoads()
-		if ticks++; maps.Equal(loads, last) && ticks < unchangedLoadTicks {
+		if unchanged++; maps.Equal(loads, last) && unchanged < unchangedLoadTicks {
+			continue
+		}
+		last, unchanged = loads, 0
+		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads})
+	}
+}
+
+// sendZoneLoads sends the load of this zone to one instance of each other zone to which
+// this instance has a link. That one relays it to its zone.
+func (r *Router) sendZoneLoads(now time.Time) {
+	sent := map[instancelist.Zone]bool{instancelist.Zone(r.settings.Zone): true}
+	var message peer.Message
+	for _, instance := range r.mesh.Active() {
+		if sent[instance.Zone] {
 			continue
 		}
-		last, ticks = loads, 0
-		r.mesh.Broadcast(peer.ZoneLoads{Loads: loads})
+		if message == nil {
+			message = peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now)}
+		}
+		sent[instance.Zone] = r.mesh.Send(instance.Instance, message)
+	}
+}
+
+// handleZoneLoads stores the load of another zone, and relays it to this zone if it comes
+// from there.
+func (r *Router) handleZoneLoads(from peer.Hello, message peer.ZoneLoads) {
+	if message.Zone == r.settings.Zone {
+		return
+	}
+	r.fleet.SetZoneLoads(time.Now(), message.Zone, message.Loads)
+	if from.Zone != instancelist.Zone(r.settings.Zone) {
+		r.mesh.BroadcastZone(message)
 	}
 }
 
@@ -255,8 +300,10 @@
 			return
 		}
 		r.fleet.SetTargetLayers(time.Now(), message.Backend, message.Layers)
-	case peer.ZoneLoads:
+	case peer.StageLoads:
 		r.fleet.SetPeerLoads(time.Now(), deployment.InstanceID(from.Instance), message.Loads)
+	case peer.ZoneLoads:
+		r.handleZoneLoads(from, message)
 	case peer.Slowdown:
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
 	case peer.CrashNotice:
