Placement: no replica is filled further than a first plan does

With several replicas a gap was filled up to 0.86 of a server's memory though the others held the layers, which leaves it little memory for requests. Found by 5,000 histories of TestPlanCoversAllLayersThatFit ().

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -131,17 +131,23 @@
 // all requests.
 func (p *planner) minGapShare() float64 {
 	for _, share := range []float64{normalShare, raisedShare} {
-		free := 0
-		for _, server := range p.servers {
-			free += max(0, p.capacity(server, share)-1)
-		}
-		if free >= p.engine.Layers {
+		if p.movableLayers(share) >= p.engine.Layers {
 			return share
 		}
 	}
 	return maxShare
 }
 
+// movableLayers returns how many layers the servers can hold within a share of their memory
+// while each has capacity for one more, so that layers can be moved between them.
+func (p *planner) movableLayers(share float64) int {
+	count := 0
+	for _, server := range p.servers {
+		count += max(0, p.capacity(server, share)-1)
+	}
+	return count
+}
+
 func (p *planner) all() []int {
 	all := make([]int, len(p.servers))
 	for i := range all {
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -50,15 +50,23 @@
 		kept[i] = z.complete(replica, append(z.empty(), z.released(givenUp)...))
 	}
 	if len(kept) > 0 && z.missing(z.all()) > 0 {
-		z.apply(z.all(), (*planner).fillGaps)
+		z.cover()
+		return z.changes()
 	}
 	for _, replica := range kept {
-		z.apply(append(replica[:len(replica):len(replica)], z.empty()...), (*planner).improve)
+		z.apply(z.planner(append(replica[:len(replica):len(replica)], z.empty()...)), (*planner).improve)
 	}
 	z.build(z.released(givenUp))
 	return z.changes()
 }
 
+// cover fills the gaps that all replicas have in common, as in a zone with one replica.
+func (z *zonePlanner) cover() {
+	p := newPlanner(z.engine, z.planned)
+	z.apply(p, (*planner).fillGaps)
+	z.apply(p, (*planner).improve)
+}
+
 func (z *zonePlanner) all() []int {
 	all := make([]int, len(z.planned))
 	for i := range all {
@@ -118,7 +126,12 @@
 	if z.missing(replica) == 0 {
 		return true
 	}
-	_, ok := z.model.replica(selected(z.planned, append(z.empty(), replica...)))
+	servers := selected(z.planned, append(z.empty(), replica...))
+	p := &planner{engine: z.engine, servers: servers}
+	if p.movableLayers(normalShare) < z.engine.Layers {
+		return false
+	}
+	_, ok := z.model.replica(servers)
 	return ok
 }
 
@@ -162,7 +175,7 @@
 	for _, index := range spare {
 		z.planned[index].Layers = deployment.LayerRange{}
 	}
-	z.apply(append(append([]int(nil), replica...), spare...), (*planner).fillGaps)
+	z.apply(z.planner(append(append([]int(nil), replica...), spare...)), (*planner).fillGaps)
 	for _, index := range spare {
 		if z.changed[index] {
 			replica = append(replica[:len(replica):len(replica)], index)
@@ -173,15 +186,24 @@
 	return replica
 }
 
-// apply lets a planner for some of the servers plan, and takes over its changes.
-func (z *zonePlanner) apply(indices []int, plan func(p *planner)) {
+// planner returns a planner for some of the servers. It fills none further than a first
+// plan does, since other replicas hold the layers too.
+func (z *zonePlanner) planner(indices []int) *planner {
 	p := newPlanner(z.engine, selected(z.planned, indices))
+	p.gapShare = normalShare
+	return p
+}
+
+// apply lets a planner plan beside the changes planned so far, and takes over its own.
+func (z *zonePlanner) apply(p *planner, plan func(p *planner)) {
 	byID := map[deployment.BackendID]int{}
-	for _, index := range indices {
-		byID[z.planned[index].ID] = index
-		if z.changed[index] {
-			p.changes = append(p.changes, Assignment{ID: z.planned[index].ID, Layers: z.planned[index].Layers})
-			p.touched[z.planned[index].ID] = true
+	for i, server := range z.planned {
+		byID[server.ID] = i
+	}
+	for i, server := range p.servers {
+		if z.changed[byID[server.ID]] && !p.changed(i) {
+			p.changes = append(p.changes, Assignment{ID: server.ID, Layers: server.Layers})
+			p.touched[server.ID] = true
 		}
 	}
 	plan(p)
