Stand-in: slots, queue, memory of cards and passes; a zone of many servers on the whole path

zone-of-many-servers.script asks for more streams at once than one first stage takes in slots and queue. The stand-in's servers reject beyond them, hold requests in the memory of their card, and can let tokens take the time of the passes of all stages.

Found by the script: where no replica reaches the least number of requests, because of few slots or slow cards, a large zone got no layers at all. Slots no longer count for that least number, and such a zone gets one replica over all servers (TestSlowZoneIsPlacedAllTheSame).

--- a/internal/placement/rate.go
+++ b/internal/placement/rate.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return replicaRate{}, false
 	}
-	requests := min(m.requestsIn(memory), float64(m.slots(servers)))
+	requests := m.requestsIn(memory)
 	idle := m.tokenTime(servers, memory, 0)
 	perRequest := (m.tokenTime(servers, memory, minReplicaRequests) - idle) / minReplicaRequests
 	if limit := m.maxTokenTime(); limit > 0 && perRequest > 0 {
@@ -54,6 +54,7 @@
 	if requests < minReplicaRequests {
 		return replicaRate{}, false
 	}
+	requests = min(requests, float64(m.slots(servers)))
 	answer := max(1, m.engine.TypicalOutputTokens) * (idle + requests*perRequest)
 	return replicaRate{requests: requests, rate: requests / answer}, true
 }
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -38,7 +38,8 @@
 
 // plan keeps the replicas that the zone has, completes those that can be completed, and
 // builds new ones from the servers that are left. A replica that can't be completed is
-// given up if the others hold all layers: its servers then complete or form others.
+// given up if the others hold all layers: its servers then complete or form others. Where no
+// replica is predicted to answer in time, the zone gets one over all servers.
 func (z *zonePlanner) plan() []Assignment {
 	replicas := replicasOf(z.engine, z.servers)
 	z.byCompleteness(replicas)
@@ -57,6 +58,9 @@
 		z.apply(z.planner(append(replica[:len(replica):len(replica)], z.empty()...)), (*planner).improve)
 	}
 	z.build(z.released(givenUp))
+	if len(kept) == 0 && len(z.changed) == 0 {
+		return newPlanner(z.engine, z.servers).fresh()
+	}
 	return z.changes()
 }
 
--- a/internal/placement/zone_test.go
+++ b/internal/placement/zone_test.go
@@ -190,6 +190,24 @@
 	}
 }
 
+// TestSlowZoneIsPlacedAllTheSame guards against a large zone that gets no layers because no
+// replica is predicted to reach the target gap between events, or has few slots.
+func TestSlowZoneIsPlacedAllTheSame(t *testing.T) {
+	engine := loadedEngine()
+	slow := zoneOf(1, 2, 13, 18)
+	for i := range slow {
+		slow[i].StepFactor *= 100
+	}
+	apply(slow, Plan(engine, slow))
+	assert.Equal(t, uncoveredOf(engine, slow), 0)
+	few := zoneOf(1, 2, 13, 18)
+	for i := range few {
+		few[i].Slots = 4
+	}
+	apply(few, Plan(engine, few))
+	assert.Assert(t, completeReplicas(engine, few) >= 3)
+}
+
 // TestLostServerCostsOneReplicaAtMost removes each server of a large zone in turn. All other
 // replicas stay as they are, and the one that lost it is completed or given up.
 func TestLostServerCostsOneReplicaAtMost(t *testing.T) {
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -32,12 +32,19 @@
 //
 //	servers l4 zone-a 8      adds model servers with a type of accelerator; "plain" adds
 //	                         servers of a plain service
+//	slots 10 5               sets the slots and the length of the queue of model servers
+//	                         that are added later
+//	passes                   makes tokens take the time of the passes of all stages, on
+//	                         model servers that are added later
 //	router a zone-a          starts a router
 //	configure 1 key          writes a configuration with a version; "key" includes the
 //	                         team's API key, any other word leaves it out
 //	placed zone-a            waits until the servers of a zone hold all layers
 //	ready a                  waits until a router reports that it is ready
 //	streams a 20             starts streams at a router
+//	hold                     makes streams wait after their first event
+//	at-once 20               waits until a number of streams run at once
+//	release                  lets held streams go on
 //	calls a once 5           starts requests that may run at most once; "any" starts
 //	                         requests that may be repeated
 //	whole                    waits for all started requests; each must get a complete
@@ -90,11 +97,12 @@
 
 // scriptRunner runs one script against a deployment of its own.
 type scriptRunner struct {
-	t       *testing.T
-	store   *platformtest.Store
-	cluster *platformtest.Cluster
-	routers map[string]*testRouter
-	layers  []deployment.LayerRange // of all servers in order, recorded by the remember command
+	t        *testing.T
+	store    *platformtest.Store
+	cluster  *platformtest.Cluster
+	routers  map[string]*testRouter
+	capacity platformtest.Capacity
+	layers   []deployment.LayerRange // of all servers in order, recorded by the remember command
 
 	pending sync.WaitGroup
 	mu      sync.Mutex
@@ -117,7 +125,7 @@
 
 func newScriptRunner(t *testing.T) *scriptRunner {
 	store := platformtest.NewStore()
-	return &scriptRunner{t: t, store: store, cluster: platformtest.NewCluster(store), routers: map[string]*testRouter{}}
+	return &scriptRunner{t: t, store: store, cluster: platformtest.NewCluster(store), routers: map[string]*testRouter{}, capacity: platformtest.DefaultCapacity()}
 }
 
 func (sr *scriptRunner) close() {
@@ -136,6 +144,18 @@
 	switch fields[0] {
 	case "servers":
 		sr.addServers(fields[1], fields[2], sr.number(fields[3]))
+	case "slots":
+		sr.capacity.Slots, sr.capacity.QueueLength = sr.number(fields[1]), sr.number(fields[2])
+		sr.cluster.SetCapacity(sr.capacity)
+	case "passes":
+		sr.capacity.Passes = true
+		sr.cluster.SetCapacity(sr.capacity)
+	case "hold":
+		sr.cluster.Hold()
+	case "release":
+		sr.cluster.Release()
+	case "at-once":
+		sr.await("at-once", func() bool { return sr.cluster.Running() >= sr.number(fields[1]) })
 	case "router":
 		sr.startRouter(fields[1], fields[2])
 	case "configure":
@@ -343,6 +363,7 @@
 	request.Header.Set(platform.HeaderRequestID, got.id)
 	request.Header.Set(platform.HeaderAPIKey, platformtest.APIKey)
 	request.Header.Set(platform.HeaderDeadline, "60000")
+	request.Header.Set(platform.HeaderTokenCounts, "700,60")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
