Instances of a zone share rejections, suspicions and the retry budget

Cause, of the same class: state of one instance where a zone of 30 has to know. A stage that rejects everything had to reject each instance four times; single stages rejected 150 to 215 requests; a lost one was dialed by each instance in turn; and each instance had an 88th of the reserve of retries, which is four in ten seconds.

Rejections, the first acceptance after them, and suspicions are told to the zone. Rejections of one moment count once, so that a full stage is not taken for a lost one; a suspicion counts once two others have it, so that an instance without a network does not stop its zone.

--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -29,14 +29,20 @@
 // MarkFull records that a stage rejected a request because it is at capacity. The
 // stage gets no new requests for a short time. After that, this instance sends it one
 // only while all instances together have slightly fewer on it than were in flight, and
-// raises that limit over time.
-func (f *Fleet) MarkFull(now time.Time, address deployment.Address) {
+// raises that limit over time. It returns the stage, and false if none is known at the
+// address.
+func (f *Fleet) MarkFull(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.byAddress(address)
 	if s == nil {
-		return
+		return "", false
 	}
+	f.markFull(now, s)
+	return s.ID, true
+}
+
+func (f *Fleet) markFull(now time.Time, s *server) {
 	s.recordRejection(now)
 	s.avoidUntil = later(s.avoidUntil, now.Add(rejectionBackoff(s.rejections)))
 	if now.Sub(s.fullAt) >= fullBackoff {
@@ -63,15 +69,19 @@
 	return min(fullBackoff<<min(rejections-rejectingThreshold+1, maxDoublings), maxRejectionBackoff)
 }
 
-// RecordAccepted records that the stages of a path have accepted a request.
-func (f *Fleet) RecordAccepted(path pipeline.Path) {
+// RecordAccepted records that the stages of a path have accepted a request. It returns
+// those that had rejected the ones before.
+func (f *Fleet) RecordAccepted(path pipeline.Path) []deployment.BackendID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var again []deployment.BackendID
 	for _, id := range path.IDs {
-		if s, ok := f.servers[id]; ok {
+		if s, ok := f.servers[id]; ok && s.rejections > 0 {
 			s.rejections = 0
+			again = append(again, id)
 		}
 	}
+	return again
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -24,12 +24,13 @@
 	connections    int // of this instance: one for each request to a plain service, or of which it is the first stage
 	waiting        int // requests of all instances, from its last response
 	avoidUntil     time.Time
-	suspectSince   time.Time // zero if it is not suspected
-	missingSince   time.Time // zero while it is listed
-	fullAt         time.Time // when the limit was last reduced, zero if it never was
-	limit          float64   // on the requests of all instances, as of fullAt
-	rejections     int       // consecutive
-	rejectingSince time.Time // first of the consecutive rejections
+	suspectSince   time.Time                           // zero if it is not suspected
+	suspicions     map[deployment.InstanceID]time.Time // of other instances
+	missingSince   time.Time                           // zero while it is listed
+	fullAt         time.Time                           // when the limit was last reduced, zero if it never was
+	limit          float64                             // on the requests of all instances, as of fullAt
+	rejections     int                                 // consecutive
+	rejectingSince time.Time                           // first of the consecutive rejections
 	firstEvent     firstEventTime
 	slowdownFactor float64 // ratio of its time for a step to the expected time, 0 if unknown
 	slowdownAt     time.Time
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -28,15 +28,19 @@
 	return max(1, s.slowdownFactor)
 }
 
-// MarkSuspect keeps an unresponsive stage out of new paths. It reports whether the stage
-// was not suspected before.
-func (f *Fleet) MarkSuspect(now time.Time, address deployment.Address) bool {
+// MarkSuspect keeps an unresponsive stage out of new paths. It returns the stage, and
+// whether it was not suspected before.
+func (f *Fleet) MarkSuspect(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.byAddress(address)
 	if s == nil {
-		return false
+		return "", false
 	}
+	return s.ID, s.markSuspect(now)
+}
+
+func (s *server) markSuspect(now time.Time) bool {
 	fresh := s.suspectSince.IsZero()
 	if fresh {
 		s.suspectSince = now
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -31,7 +31,7 @@
 func TestClientDisconnectDoesNotSuspectStage(t *testing.T) {
 	now := time.Now()
 	fleet, service := testFleet(now)
-	s := &stream{gateway: &Gateway{Config: Config{Fleet: fleet}}, ran: map[deployment.BackendID]bool{}}
+	s := &stream{gateway: &Gateway{Config: Config{Fleet: fleet, OnObservation: func(deployment.BackendID, backend.Observation) {}}}, ran: map[deployment.BackendID]bool{}}
 	path := pipeline.Path{Hops: []deployment.Hop{{Address: "10.0.0.1:80"}}, IDs: []deployment.BackendID{"i-1"}}
 	disconnected, disconnect := context.WithCancel(context.Background())
 	disconnect()
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -64,7 +64,7 @@
 	if errors.As(err, &notSent) {
 		s.recordNotRun(err)
 		if ctx.Err() == nil { // otherwise the attempt was canceled while connecting, which says nothing of the stage
-			s.gateway.Fleet.MarkSuspect(time.Now(), path.Hops[0].Address)
+			s.gateway.markSuspect(time.Now(), path.Hops[0].Address)
 		}
 		return
 	}
@@ -89,7 +89,9 @@
 		return 0, s.recordRejection(response, path, sent)
 	}
 	s.recordRan(path)
-	s.gateway.Fleet.RecordAccepted(path)
+	for _, id := range s.gateway.Fleet.RecordAccepted(path) {
+		s.gateway.OnObservation(id, backend.StageAccepted)
+	}
 	if err := validateResponse(response.Response, 0); err != nil {
 		return 0, err
 	}
@@ -108,19 +110,36 @@
 	now := time.Now()
 	switch {
 	case now.Sub(sent) > slowRejectionTime:
-		s.gateway.Fleet.MarkSuspect(now, address) // the request waited for it until a timeout
+		s.gateway.markSuspect(now, address) // the request waited for it until a timeout
 	case backendReplaced(response.Response, path.IDs[0]):
 		s.gateway.Fleet.RemoveReplaced(path.IDs[0])
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		s.gateway.Fleet.MarkWrongLayers(now, address)
 	default:
-		s.gateway.Fleet.MarkFull(now, address)
+		s.gateway.markFull(now, address)
 	}
 	err := fmt.Errorf("%w: status %d at %s", errNotExecuted, response.StatusCode, address)
 	s.recordNotRun(err)
 	return err
 }
 
+// markSuspect keeps a stage that does not respond out of new paths, and tells the others of
+// it if that is new. It reports whether it is.
+func (c *Config) markSuspect(now time.Time, address deployment.Address) bool {
+	id, fresh := c.Fleet.MarkSuspect(now, address)
+	if fresh {
+		c.OnObservation(id, backend.StageSuspected)
+	}
+	return fresh
+}
+
+// markFull records that a stage lacks capacity, and tells the others of it.
+func (c *Config) markFull(now time.Time, address deployment.Address) {
+	if id, ok := c.Fleet.MarkFull(now, address); ok {
+		c.OnObservation(id, backend.StageRejected)
+	}
+}
+
 // forwardErrorStatus forwards a backend server's response with a status other than 200,
 // unless the header of an earlier attempt was written before.
 func (s *stream) forwardErrorStatus(response *backend.Response) (streamOutcome, error) {
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -199,7 +199,7 @@
 		if outcome != platform.RerouteNoCapacity || at == "" {
 			break
 		}
-		m.config.Fleet.MarkFull(time.Now(), at)
+		m.config.markFull(time.Now(), at)
 	}
 	stream.interrupted.Store(true)
 	stream.interrupt()
@@ -244,7 +244,7 @@
 }
 
 func (m *streamMonitor) markSuspect(now time.Time, address, reportedBy deployment.Address, cause error) {
-	if m.config.Fleet.MarkSuspect(now, address) {
+	if m.config.markSuspect(now, address) {
 		m.config.Logger.Info("stage suspected", zap.String("address", string(address)),
 			zap.String("told-by", string(reportedBy)), zap.NamedError("cause", cause))
 	}
--- a/internal/gateway/streammonitor_test.go
+++ b/internal/gateway/streammonitor_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
 )
@@ -55,7 +56,7 @@
 	)
 	start := time.Unix(1000, 0)
 	fleet, _ := testFleet(start)
-	m := newStreamMonitor(Config{Fleet: fleet})
+	m := newStreamMonitor(Config{Fleet: fleet, OnObservation: func(deployment.BackendID, backend.Observation) {}})
 	path := pipeline.Path{Hops: []deployment.Hop{{Address: "10.0.0.1:80"}}, IDs: []deployment.BackendID{"i-1"}}
 	stream := m.add(&call{}, reservation{path: path}, func() {})
 	stream.lastEvent.Store(start.UnixNano())
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -6,11 +6,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/internal/topiccache"
 	"mulberryhead.org/mulberryhead/pkg/environment"
@@ -82,9 +84,11 @@
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
 	case StageLoads:
-		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads)}
+		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries)}
 	case ZoneLoads:
 		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads)}
+	case StageObserved:
+		wire.StageObserved = &wireStageObserved{Backend: string(m.Backend), What: int(m.What)}
 	case Slowdown:
 		wire.Slowdown = &wireSlowdown{Backend: string(m.Backend), Factor: m.Factor}
 	case ForwardRequest:
@@ -148,7 +152,9 @@
 		id, layers := wire.LayersOrdered.layers()
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
 	case wire.StageLoads != nil:
-		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads)}, nil
+		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads), Retries: retriesFromWire(wire.StageLoads.Retries)}, nil
+	case wire.StageObserved != nil:
+		return StageObserved{Backend: deployment.BackendID(wire.StageObserved.Backend), What: backend.Observation(wire.StageObserved.What)}, nil
 	case wire.ZoneLoads != nil:
 		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads)}, nil
 	case wire.Slowdown != nil:
@@ -185,6 +191,22 @@
 	return loads
 }
 
+func retriesToWire(retries map[deployment.ServiceName]retrybudget.Spending) map[string]wireSpending {
+	wire := make(map[string]wireSpending, len(retries))
+	for service, spending := range retries {
+		wire[string(service)] = wireSpending{Allowed: spending.Allowed, Spent: spending.Spent}
+	}
+	return wire
+}
+
+func retriesFromWire(wire map[string]wireSpending) map[deployment.ServiceName]retrybudget.Spending {
+	retries := make(map[deployment.ServiceName]retrybudget.Spending, len(wire))
+	for service, spending := range wire {
+		retries[deployment.ServiceName(service)] = retrybudget.Spending{Allowed: spending.Allowed, Spent: spending.Spent}
+	}
+	return retries
+}
+
 func layersToWire(id deployment.BackendID, layers deployment.LayerRange) *wireLayers {
 	return &wireLayers{Backend: string(id), First: layers.First, End: layers.End}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -19,11 +19,13 @@
 import (
 	"github.com/google/uuid"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/internal/topiccache"
 	"mulberryhead.org/mulberryhead/pkg/environment"
@@ -170,9 +172,10 @@
 }
 
 // StageLoads reports how many requests of the sender are in flight on each backend server
-// of a model.
+// of a model, and what it has spent of the retries to each service.
 type StageLoads struct {
-	Loads map[deployment.BackendID]int
+	Loads   map[deployment.BackendID]int
+	Retries map[deployment.ServiceName]retrybudget.Spending
 }
 
 // ZoneLoads reports how many requests of all instances of a zone are in flight on each
@@ -182,6 +185,12 @@
 	Loads map[deployment.BackendID]int
 }
 
+// StageObserved reports what the sender has observed of a backend server of a model.
+type StageObserved struct {
+	Backend deployment.BackendID
+	What    backend.Observation
+}
+
 // Slowdown reports the slowdown factor of a backend server of a model: how many times
 // longer than usual it takes.
 type Slowdown struct {
@@ -231,6 +240,7 @@
 func (LayersOrdered) isMessage()       {}
 func (StageLoads) isMessage()          {}
 func (ZoneLoads) isMessage()           {}
+func (StageObserved) isMessage()       {}
 func (Slowdown) isMessage()            {}
 func (ForwardRequest) isMessage()      {}
 func (ForwardResponse) isMessage()     {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -104,7 +104,14 @@
 }
 
 type wireStageLoads struct {
-	Loads map[string]int `cbor:"1,keyasint"`
+	Loads   map[string]int          `cbor:"1,keyasint"`
+	Retries map[string]wireSpending `cbor:"2,keyasint,omitempty"`
+}
+
+type wireSpending struct {
+	_       struct{} `cbor:",toarray"`
+	Allowed float64
+	Spent   float64
 }
 
 type wireZoneLoads struct {
@@ -112,6 +119,11 @@
 	Loads map[string]int `cbor:"2,keyasint"`
 }
 
+type wireStageObserved struct {
+	Backend string `cbor:"1,keyasint"`
+	What    int    `cbor:"2,keyasint"`
+}
+
 type wireSlowdown struct {
 	Backend string  `cbor:"1,keyasint"`
 	Factor  float64 `cbor:"2,keyasint"`
@@ -147,4 +159,5 @@
 	LayersOrdered       *wireLayers              `cbor:"19,keyasint,omitempty"`
 	StageLoads          *wireStageLoads          `cbor:"21,keyasint,omitempty"`
 	ZoneLoads           *wireZoneLoads           `cbor:"22,keyasint,omitempty"`
+	StageObserved       *wireStageObserved       `cbor:"23,keyasint,omitempty"`
 }
--- a/internal/retrybudget/window.go
+++ b/internal/retrybudget/window.go
@@ -15,7 +15,8 @@
 
 // WindowBudget limits the retries in every sliding window of some seconds: to a fraction
 // of the requests in the window, plus this instance's part of a reserve that all instances
-// share. It is safe for concurrent use.
+// share. What other instances leave of their parts may be borrowed, as far as they have
+// reported it. It is safe for concurrent use.
 type WindowBudget struct {
 	mu           sync.Mutex
 	bounds       Bounds
@@ -24,8 +25,23 @@
 	retries      []time.Time      // within the window
 	requests     [bucketCount]int // by bucket
 	newestBucket int64            // number of the newest bucket since the Unix epoch
+	others       Spending         // sum over lenders other instances
+	lenders      int
+	borrowed     int // retries beyond the own part since the last SetOthers
 }
 
+// Spending is the allowance of an instance and what it has spent of it in the window that
+// ends now, borrowed retries included.
+type Spending struct {
+	Allowed float64
+	Spent   float64
+}
+
+// borrowedShare is the share of what is left of the other instances' allowances that all
+// instances together may borrow until they have reported again. It leaves room for reports that
+// are lost, and for requests that leave the window before the retries that they allowed.
+const borrowedShare = 0.5
+
 // Bounds limit the retries that all instances together may send to a service.
 type Bounds struct {
 	Ratio   float64 // retries for each request in a window
@@ -86,10 +102,23 @@
 		return false
 	}
 	w.retries = append(w.retries, now)
+	if own := w.spending(now); own.Spent > own.Allowed {
+		w.borrowed++
+	}
 	return true
 }
 
 func (w *WindowBudget) available(now time.Time, urgent bool) bool {
+	share := 1.0
+	if !urgent {
+		share = 1 - urgentFraction
+	}
+	own := w.spending(now)
+	return own.Spent+1 <= share*own.Allowed || w.canBorrow(own, share)
+}
+
+// spending returns the state of this instance's part of the budget.
+func (w *WindowBudget) spending(now time.Time) Spending {
 	w.expire(now)
 	requests := 0
 	for _, count := range w.requests {
@@ -99,10 +128,30 @@
 	if now.Sub(w.started) > w.bounds.Window {
 		allowed += w.bounds.Reserve / float64(w.instances)
 	}
-	if !urgent {
-		allowed *= 1 - urgentFraction
-	}
-	return float64(len(w.retries)+1) <= allowed
+	return Spending{Allowed: allowed, Spent: float64(len(w.retries))}
+}
+
+// canBorrow reports whether the parts of all instances that have reported suffice for one
+// more retry of this one, even if each of them borrows as much before it reports again.
+func (w *WindowBudget) canBorrow(own Spending, share float64) bool {
+	left := share*(own.Allowed+w.others.Allowed) - own.Spent - w.others.Spent + float64(w.borrowed)
+	return float64((w.borrowed+1)*(w.lenders+1)) <= borrowedShare*left
+}
+
+// Report returns this instance's part of the budget, to be passed to SetOthers of the
+// others.
+func (w *WindowBudget) Report(now time.Time) Spending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.spending(now)
+}
+
+// SetOthers sets the sum over the parts of other instances, as many as lenders, that have
+// reported theirs since the last call.
+func (w *WindowBudget) SetOthers(others Spending, lenders int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.others, w.lenders, w.borrowed = others, lenders, 0
 }
 
 // expire removes the retries and request counts that are older than the window.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -177,12 +177,14 @@
 		if ticks%zoneLoadTicks == 0 {
 			r.sendZoneLoads(time.Now())
 		}
+		now := time.Now()
+		r.gateway.ShareRetries(now)
 		loads := r.fleet.SnapshotLoads()
 		if unchanged++; maps.Equal(loads, last) && unchanged < unchangedLoadTicks {
 			continue
 		}
 		last, unchanged = loads, 0
-		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads})
+		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now)})
 	}
 }
 
@@ -265,6 +267,11 @@
 	r.mesh.Broadcast(peer.Slowdown{Backend: id, Factor: factor})
 }
 
+// broadcastObservation tells the zone what this instance has observed of a backend server.
+func (r *Router) broadcastObservation(id deployment.BackendID, what backend.Observation) {
+	r.mesh.BroadcastZone(peer.StageObserved{Backend: id, What: what})
+}
+
 // activeInZone returns the reachable instances of this zone that are not shutting down,
 // this one included unless it is, sorted by id.
 func (r *Router) activeInZone() []deployment.InstanceID {
@@ -301,9 +308,13 @@
 		}
 		r.fleet.SetTargetLayers(time.Now(), message.Backend, message.Layers)
 	case peer.StageLoads:
-		r.fleet.SetPeerLoads(time.Now(), deployment.InstanceID(from.Instance), message.Loads)
+		now := time.Now()
+		r.fleet.SetPeerLoads(now, deployment.InstanceID(from.Instance), message.Loads)
+		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
 	case peer.ZoneLoads:
 		r.handleZoneLoads(from, message)
+	case peer.StageObserved:
+		r.fleet.RecordObservation(time.Now(), deployment.InstanceID(from.Instance), message.Backend, message.What)
 	case peer.Slowdown:
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
 	case peer.CrashNotice:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,6 +118,7 @@
 	r.gateway = gateway.New(gateway.Config{
 		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient,
 		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnBackendCrash: r.broadcastCrash, OnSlowdownMeasured: r.broadcastSlowdown,
+		OnObservation: r.broadcastObservation,
 	})
 	r.controller = placementcontroller.New(placementcontroller.Config{
 		Settings: settings, Store: r.store, BackendClient: r.backendClient, RoutingTable: &r.routingTable, Fleet: r.fleet, Logger: r.logger,
