Loads go out every 400 ms, to other zones by bridges only

Nearly every instance has a link to the seeds of the other zones, and each sent them its zone's load, which they relayed each time: as many messages as all loads within the zones. Now only the two bridges to a zone send, and a relay passes a zone's load on at most every 300 ms.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -165,6 +165,13 @@
 	return list
 }
 
+// IsBridge reports whether this instance is one of its zone's bridges to another zone.
+func (m *Mesh) IsBridge(zone instancelist.Zone) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.membership.isBridge(zone)
+}
+
 // Stats returns the current counts.
 func (m *Mesh) Stats() Stats {
 	m.mu.Lock()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -39,11 +40,12 @@
 	overdueMargin       = 400 * time.Millisecond
 	peerRequestInterval = 250 * time.Millisecond
 	// loadInterval is the interval at which this instance broadcasts its load. An
-	// unchanged load is broadcast in every unchangedLoadTicks-th interval only. The load
-	// of the zone goes to the other zones in every zoneLoadTicks-th interval.
-	loadInterval       = 200 * time.Millisecond
-	unchangedLoadTicks = 5
-	zoneLoadTicks      = 2
+	// unchanged load is broadcast in every unchangedLoadTicks-th interval only.
+	loadInterval       = 400 * time.Millisecond
+	unchangedLoadTicks = 3
+	// minRelayInterval is the minimum interval at which the load of another zone is
+	// relayed, as more than one instance may receive it.
+	minRelayInterval = loadInterval * 3 / 4
 )
 
 // wireInstance is an entry of instancesTopic.
@@ -168,16 +170,14 @@
 	unchanged := 0
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	for ticks := 1; ; ticks++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if ticks%zoneLoadTicks == 0 {
-			r.sendZoneLoads(time.Now())
-		}
 		now := time.Now()
+		r.sendZoneLoads(now)
 		r.gateway.ShareRetries(now)
 		loads := r.fleet.SnapshotLoads()
 		if unchanged++; maps.Equal(loads, last) && unchanged < unchangedLoadTicks {
@@ -189,7 +189,7 @@
 }
 
 // sendZoneLoads sends the load of this zone to one instance of each other zone to which
-// this instance has a link. That one relays it to its zone.
+// this instance is a bridge. That one relays it to its zone.
 func (r *Router) sendZoneLoads(now time.Time) {
 	sent := map[instancelist.Zone]bool{instancelist.Zone(r.settings.Zone): true}
 	var message peer.Message
@@ -197,25 +197,49 @@
 		if sent[instance.Zone] {
 			continue
 		}
+		sent[instance.Zone] = true
+		if !r.mesh.IsBridge(instance.Zone) {
+			continue
+		}
 		if message == nil {
 			message = peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now)}
 		}
-		sent[instance.Zone] = r.mesh.Send(instance.Instance, message)
+		r.mesh.Send(instance.Instance, message)
 	}
 }
 
 // handleZoneLoads stores the load of another zone, and relays it to this zone if it comes
 // from there.
-func (r *Router) handleZoneLoads(from peer.Hello, message peer.ZoneLoads) {
+func (r *Router) handleZoneLoads(now time.Time, from peer.Hello, message peer.ZoneLoads) {
 	if message.Zone == r.settings.Zone {
 		return
 	}
-	r.fleet.SetZoneLoads(time.Now(), message.Zone, message.Loads)
-	if from.Zone != instancelist.Zone(r.settings.Zone) {
+	r.fleet.SetZoneLoads(now, message.Zone, message.Loads)
+	if from.Zone != instancelist.Zone(r.settings.Zone) && r.zoneRelays.due(now, message.Zone) {
 		r.mesh.BroadcastZone(message)
 	}
 }
 
+// zoneRelays records when the load of each other zone was last relayed.
+type zoneRelays struct {
+	mu sync.Mutex
+	at map[deployment.Zone]time.Time
+}
+
+// due reports whether the load of a zone is to be relayed now, and records that it is.
+func (z *zoneRelays) due(now time.Time, zone deployment.Zone) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if now.Sub(z.at[zone]) < minRelayInterval {
+		return false
+	}
+	if z.at == nil {
+		z.at = map[deployment.Zone]time.Time{}
+	}
+	z.at[zone] = now
+	return true
+}
+
 // requestFromPeers requests records of a consumer's topic from all peers while the store
 // is overdue.
 func (r *Router) requestFromPeers(ctx context.Context, c *consumer) {
@@ -312,7 +336,7 @@
 		r.fleet.SetPeerLoads(now, deployment.InstanceID(from.Instance), message.Loads)
 		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
 	case peer.ZoneLoads:
-		r.handleZoneLoads(from, message)
+		r.handleZoneLoads(time.Now(), from, message)
 	case peer.StageObserved:
 		r.fleet.RecordObservation(time.Now(), deployment.InstanceID(from.Instance), message.Backend, message.What)
 	case peer.Slowdown:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,6 +80,7 @@
 	controller    *placementcontroller.Controller
 	idle          *idleConnections
 	mesh          *peer.Mesh
+	zoneRelays    zoneRelays
 	shuttingDown  atomic.Bool
 	shutdownGrace atomic.Int64 // time.Duration
 
