--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -226,7 +226,8 @@
 func (z *zonePlanner) build(released []int) {
 	empty := z.empty()
 	reserve := int(reserveShare * float64(len(z.servers)))
-	spare := append(empty[:max(0, len(empty)-reserve)], released...)
+	spare := append([]int(nil), released...)
+	spare = append(spare, empty[:max(0, len(empty)-reserve)]...)
 	sort.Ints(spare)
 	servers := selected(z.planned, spare)
 	if !z.model.holds(servers, 1) {
