--- /dev/null
+++ b/internal/gateway/observations.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/backend"
+	"mulberryhead.org/mulberryhead/internal/deployment"
+)
+
+// markSuspect keeps a stage that does not respond out of new paths, and tells the others of
+// it if that is new. It reports whether it is.
+func (c *Config) markSuspect(now time.Time, address deployment.Address) bool {
+	id, fresh := c.Fleet.MarkSuspect(now, address)
+	if fresh {
+		c.OnObservation(id, backend.StageSuspected)
+	}
+	return fresh
+}
+
+// markFull records that a stage lacks capacity, and tells the others of it.
+func (c *Config) markFull(now time.Time, address deployment.Address) {
+	if id, ok := c.Fleet.MarkFull(now, address); ok {
+		c.OnObservation(id, backend.StageRejected)
+	}
+}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -123,23 +123,6 @@
 	return err
 }
 
-// markSuspect keeps a stage that does not respond out of new paths, and tells the others of
-// it if that is new. It reports whether it is.
-func (c *Config) markSuspect(now time.Time, address deployment.Address) bool {
-	id, fresh := c.Fleet.MarkSuspect(now, address)
-	if fresh {
-		c.OnObservation(id, backend.StageSuspected)
-	}
-	return fresh
-}
-
-// markFull records that a stage lacks capacity, and tells the others of it.
-func (c *Config) markFull(now time.Time, address deployment.Address) {
-	if id, ok := c.Fleet.MarkFull(now, address); ok {
-		c.OnObservation(id, backend.StageRejected)
-	}
-}
-
 // forwardErrorStatus forwards a backend server's response with a status other than 200,
 // unless the header of an earlier attempt was written before.
 func (s *stream) forwardErrorStatus(response *backend.Response) (streamOutcome, error) {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -6,7 +6,10 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
+	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 )
 
 // FuzzDecode passes arbitrary bytes to the decoder, as a faulty peer might send. A
@@ -17,6 +20,8 @@
 		DocumentsRequest{AsOf: 7}, DocumentsCheckpoint{Checkpoint: document.Checkpoint{AsOf: 7}},
 		LoadUpdates{Updates: []LoadUpdate{{Runner: "r", Queued: 1}}}, CrashNotice{Fingerprint: 7, Runner: "r"},
 		ForwardRequest{ID: 7, Key: "k"}, ForwardResponse{ID: 7, Status: 200},
+		StageLoads{Loads: map[deployment.BackendID]int{"b": 3}}, ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{"b": 3}},
+		StageObserved{Backend: "b", What: backend.StageSuspected},
 	} {
 		data, err := Encode(m)
 		assert.NilError(f, err)
@@ -33,3 +38,19 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestLoadsOfNoRequestArrive guards against an instance whose last request has ended and
+// whose old load the others keep, because an empty load is left out of the message.
+func TestLoadsOfNoRequestArrive(t *testing.T) {
+	for _, m := range []Message{
+		StageLoads{Loads: map[deployment.BackendID]int{}, Retries: map[deployment.ServiceName]retrybudget.Spending{"s": {Allowed: 4.5, Spent: 1}}},
+		ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{}},
+		StageObserved{Backend: "b", What: backend.StageAccepted},
+	} {
+		data, err := Encode(m)
+		assert.NilError(t, err)
+		got, err := Decode(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, m)
+	}
+}
