--- a/cmd/mulberryhead/experiment.go
+++ b/cmd/mulberryhead/experiment.go
@@ -16,6 +16,7 @@
 	Batching  batchingCommand  `command:"batching" description:"calls that run at most once, with one claim for each append and with many"`
 	Spread    spreadCommand    `command:"spread" description:"bytes, processor time and spread of documents in meshes of entry instances"`
 	Placement placementCommand `command:"placement" description:"requests that a zone's cards carry by the model, against a bound and baselines"`
+	ZoneLoad  zoneLoadCommand  `command:"zone-load" description:"streams that large zones answer in time by the model, with the deciders of route"`
 	Fleet     fleetCommand     `command:"fleet" description:"throughput of a mixed fleet against its bound and baselines"`
 }
 
@@ -26,6 +27,13 @@
 	return experiment.Placement(os.Stdout, experiment.SamplePlacement())
 }
 
+type zoneLoadCommand struct{}
+
+// Execute plays the zones of the grown sample deployment.
+func (zoneLoadCommand) Execute([]string) error {
+	return experiment.ZoneLoads(os.Stdout, experiment.GrownZoneLoads())
+}
+
 // fleetCommand runs the throughput experiment. Each of the Pools stands for one
 // entry instance.
 type fleetCommand struct {
