--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -40,6 +40,10 @@
 // APIKey is the secret that authenticates a request as one of a team.
 type APIKey string
 
+// PromptPartID identifies a part of a prompt. Requests whose prompts share a part name the
+// same ID.
+type PromptPartID string
+
 // Version is the version of a configuration. Later versions are larger.
 type Version int64
 
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -181,7 +181,7 @@
 	result := b.roundTrip(ctx, inFlight, request)
 	b.gateway.logAttempt(c, inFlight.Backend, result, time.Since(started))
 	if _, mayHaveRun := result.(unknown); mayHaveRun && ctx.Err() == nil {
-		go b.gateway.checkCrash(c, inFlight.Backend)
+		go b.gateway.checkCrash(c, inFlight.Backend, false)
 	}
 	inFlight.Done(time.Now(), backendResult(clientCtx, result))
 	return result
--- a/internal/gateway/crashtracker.go
+++ b/internal/gateway/crashtracker.go
@@ -98,15 +98,18 @@
 }
 
 // HandleCrashNotice records a crash of a backend server during a request, as reported by a peer.
-func (g *Gateway) HandleCrashNotice(now time.Time, request engine.Fingerprint, _ deployment.BackendID) {
+func (g *Gateway) HandleCrashNotice(now time.Time, from deployment.InstanceID, request engine.Fingerprint, at deployment.BackendID) {
 	g.crashes.record(now, request)
+	g.Metrics.countBackendEnd(toldByPeer)
+	g.Logger.Debug("backend server down, as told", zap.String("told-by", string(from)), zap.String("backend", string(at)),
+		zap.Uint64("fingerprint", uint64(request)))
 }
 
 // checkCrash checks whether a backend server is unreachable after an attempt failed
 // there. If so, the request may have crashed it: the crash is recorded here and passed
 // to OnBackendCrash. After a mere loss of the response, the backend server is still
 // reachable.
-func (g *Gateway) checkCrash(c *call, at deployment.Backend) {
+func (g *Gateway) checkCrash(c *call, at deployment.Backend, hadEvents bool) {
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -115,6 +118,17 @@
 	}
 	g.crashes.record(time.Now(), c.fingerprint)
 	g.OnBackendCrash(c.fingerprint, at.ID)
+	g.Metrics.countBackendEnd(noticedHere)
 	g.Logger.Info("backend server down after a request", zap.String("request", c.id),
-		zap.String("backend", string(at.ID)), zap.Uint64("fingerprint", uint64(c.fingerprint)))
+		zap.String("backend", string(at.ID)), zap.String("address", string(at.Address)), zap.Time("started-at", at.StartedAt),
+		zap.Uint64("fingerprint", uint64(c.fingerprint)), zap.Bool("had-events", hadEvents), partsField(c))
+}
+
+// partsField returns the log field that names the parts of a request's prompt.
+func partsField(c *call) zap.Field {
+	names := make([]string, 0, len(c.parts))
+	for _, part := range c.parts {
+		names = append(names, string(part))
+	}
+	return zap.Strings("parts", names)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,6 +147,7 @@
 	attempts int // including those that did not run
 	// fingerprint identifies equal requests, to detect those that crash backend servers.
 	fingerprint engine.Fingerprint
+	parts       []deployment.PromptPartID // of the prompt, in order
 }
 
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
@@ -206,6 +207,7 @@
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, ID: c.id,
 		Header: forwardedHeader(r.Header, decision.Team), Body: body,
 	}
+	c.parts = platform.ParsePromptParts(r.Header)
 	c.fingerprint = fingerprintOf(c.request, string(decision.Team))
 	if g.crashes.quarantined(now, c.fingerprint) {
 		return c, &errorResponse{status: http.StatusServiceUnavailable, code: "breaks-backend-servers", retryAfter: quarantineDuration}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	firstEvents *prometheus.HistogramVec
 	responses   *prometheus.HistogramVec
 	failures    *prometheus.CounterVec
+	backendEnds *prometheus.CounterVec
 }
 
 // NewMetrics returns Metrics registered with registry.
@@ -30,7 +31,10 @@
 			Name: "mulberryhead_refusals_total", Help: "Requests that ended with an answer of the router's own.",
 		}, []string{"code"}),
 	}
-	registry.MustRegister(m.firstEvents, m.responses, m.failures)
+	m.backendEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mulberryhead_backend_ends_total", Help: "Notices that a backend server ended during a request, by who noticed it.",
+	}, []string{"source"})
+	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.backendEnds)
 	return m
 }
 
@@ -56,3 +60,17 @@
 // countFailure counts a request that ended with an error response, a truncated stream or
 // a client's disconnect.
 func (m *Metrics) countFailure(code string) { m.failures.WithLabelValues(code).Inc() }
+
+// noticeSource tells who noticed that a backend server has ended.
+type noticeSource string
+
+// The sources of a notice.
+const (
+	noticedHere noticeSource = "here"
+	toldByPeer  noticeSource = "peer"
+)
+
+// countBackendEnd counts a notice that a backend server has ended.
+func (m *Metrics) countBackendEnd(source noticeSource) {
+	m.backendEnds.WithLabelValues(string(source)).Inc()
+}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -40,9 +40,9 @@
 	}
 	monitored.end(time.Now())
 	if err != nil && s.notRunCause == nil && ctx.Err() == nil {
-		go s.gateway.checkCrash(s.call, reserved.inFlight.Backend)
+		go s.gateway.checkCrash(s.call, reserved.inFlight.Backend, monitored.hasEvents.Load())
 	}
-	s.logAttempt(reserved, started, err)
+	s.logAttempt(reserved, started, monitored.hasEvents.Load(), err)
 	return outcome, err
 }
 
@@ -210,7 +210,7 @@
 	return nil
 }
 
-func (s *stream) logAttempt(reserved reservation, started time.Time, err error) {
+func (s *stream) logAttempt(reserved reservation, started time.Time, hadEvents bool, err error) {
 	path := reserved.path
 	outcome := "answered"
 	if err != nil {
@@ -223,5 +223,5 @@
 		zap.String("path", platform.FormatPath(path.Hops)), zap.Int("try", s.call.attempts),
 		zap.Duration("queued-ms", reserved.queued), zap.Int("first-stage-load", path.FirstStageRequests), zap.Duration("predicted-token-ms", path.Cost),
 		zap.Duration("took-ms", time.Since(started)), zap.Int64("last-event", s.lastEventID),
-		zap.String("outcome", outcome), zap.NamedError("cause", err))
+		zap.Bool("had-events", hadEvents), partsField(s.call), zap.String("outcome", outcome), zap.NamedError("cause", err))
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -342,7 +342,7 @@
 	case peer.Slowdown:
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
 	case peer.CrashNotice:
-		r.gateway.HandleCrashNotice(time.Now(), message.Fingerprint, deployment.BackendID(message.Runner))
+		r.gateway.HandleCrashNotice(time.Now(), deployment.InstanceID(from.Instance), message.Fingerprint, deployment.BackendID(message.Runner))
 	}
 }
 
