--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -62,6 +62,15 @@
 //	unlist 3                 removes a server's entry from the list
 //	stop a                   stops a router and waits until it has ended
 //	pause 300                waits for a number of milliseconds
+//	ends-on middle           makes the server at a place of the path (first, middle, last)
+//	                         end as it begins to write on one part of the prompts
+//	crowd 12                 for a number of seconds sends streams at all routers: sound ones,
+//	                         and ones with that part, which share caller and first part;
+//	                         "crash" and numbers end these servers half way
+//	held                     checks that the part was held in time, and that sound streams of
+//	                         the crowd began at the first attempt since then
+//	none-held                checks that no request of the crowd was rejected as one that
+//	                         ends backend servers
 //
 // The faults of a server:
 //
@@ -107,6 +116,8 @@
 	pending sync.WaitGroup
 	mu      sync.Mutex
 	results []result
+	crowd   []crowdResult
+	harmful bool // the crowd has requests on which servers end
 }
 
 type testRouter struct {
@@ -198,6 +209,15 @@
 		sr.store.Compact(platform.BackendsTopic)
 	case "stop":
 		sr.stopRouter(fields[1])
+	case "ends-on":
+		sr.cluster.EndOn(harmfulPart, sr.place(fields[1]))
+		sr.harmful = true
+	case "crowd":
+		sr.runCrowd(time.Duration(sr.number(fields[1]))*time.Second, fields[2:])
+	case "held":
+		sr.checkHeld()
+	case "none-held":
+		sr.checkNoneHeld()
 	case "pause":
 		time.Sleep(time.Duration(sr.number(fields[1])) * time.Millisecond)
 	default:
@@ -347,6 +367,11 @@
 
 // request sends one request and reads the response.
 func (sr *scriptRunner) request(router, route string) result {
+	return sr.requestWithParts(router, route, "")
+}
+
+// requestWithParts sends one request that names the parts of its prompt.
+func (sr *scriptRunner) requestWithParts(router, route, parts string) result {
 	got := result{route: route, id: uuid.NewString()}
 	method := http.MethodPost
 	if route == "any" {
@@ -364,6 +389,9 @@
 	request.Header.Set(platform.HeaderAPIKey, platformtest.APIKey)
 	request.Header.Set(platform.HeaderDeadline, "60000")
 	request.Header.Set(platform.HeaderTokenCounts, "700,60")
+	if parts != "" {
+		request.Header.Set(platform.HeaderPromptParts, parts)
+	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
