A pure decider of who is held for the end of a backend server

Package poison: evidence is a set of ends with the attempts that had not begun, merged in any order, one count for an incarnation however many report it. A part under which an answer has begun since is cleared; what a held part explains does not count against others; ends at one moment count as one. Not used yet.

--- /dev/null
+++ b/internal/poison/verdict.go
@@ -0,0 +1,188 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// suspectEnds and heldEnds are the ends from which on a key is suspected and held.
+	suspectEnds = 2
+	heldEnds    = 3
+	// episodeLength groups ends. Those of an episode with massEnds or more have one cause,
+	// such as a rack that lost power, and count as one.
+	episodeLength = 300 * time.Millisecond
+	massEnds      = 5
+)
+
+// verdicts are computed from the evidence and valid until it changes or an episode closes.
+type verdicts struct {
+	valid    bool
+	until    time.Time // zero if only new evidence changes them
+	suspects map[Key]bool
+	held     map[Key]heldKey
+	live     map[Key]int // ends that are not cleared
+}
+
+// heldKey is what is known of a key that is held.
+type heldKey struct {
+	ends    int
+	lastEnd time.Time
+}
+
+// Judge returns the verdict on a request with some keys: the worst of any.
+func (t *Tracker) Judge(now time.Time, keys []Key) Verdict {
+	v := t.verdictsAt(now)
+	worst := Clear
+	for _, key := range keys {
+		if _, held := v.held[key]; held {
+			return Held
+		}
+		if v.suspects[key] {
+			worst = Suspected
+		}
+	}
+	return worst
+}
+
+// HeldKeys returns the number of keys that are held.
+func (t *Tracker) HeldKeys(now time.Time) int { return len(t.verdictsAt(now).held) }
+
+func (t *Tracker) verdictsAt(now time.Time) *verdicts {
+	v := &t.verdicts
+	if !v.valid || (!v.until.IsZero() && !now.Before(v.until)) {
+		*v = t.compute(now)
+	}
+	return v
+}
+
+// episode is a group of ends that follow each other closely.
+type episode struct {
+	ends []*end
+	// open is set while another end may still join.
+	open bool
+}
+
+// episodes groups the ends by time. An episode is as long as episodeLength at most, so that
+// a flood of ends is not one episode.
+func (t *Tracker) episodes(now time.Time) (all []episode, until time.Time) {
+	for _, incarnation := range t.incarnationsByTime() {
+		e := t.ends[incarnation]
+		last := len(all) - 1
+		if last >= 0 && e.at.Sub(all[last].ends[0].at) < episodeLength {
+			all[last].ends = append(all[last].ends, e)
+			continue
+		}
+		all = append(all, episode{ends: []*end{e}})
+	}
+	if len(all) == 0 {
+		return nil, time.Time{}
+	}
+	latest := &all[len(all)-1]
+	closes := latest.ends[0].at.Add(episodeLength)
+	if now.Before(closes) {
+		latest.open = true
+		until = closes
+	}
+	return all, until
+}
+
+// blame is what speaks against one key.
+type blame struct {
+	key         Key
+	specificity int // the greatest index of the key among those of a request
+	ends        []*end
+	score       int
+}
+
+// compute holds the keys with the highest scores. The ends that a held key explains don't
+// count against others: what is often in flight beside it is sound. Of two keys with the
+// same score the more specific one is held, since fewer requests have it.
+func (t *Tracker) compute(now time.Time) verdicts {
+	episodes, until := t.episodes(now)
+	v := verdicts{valid: true, until: until, suspects: map[Key]bool{}, held: map[Key]heldKey{}, live: map[Key]int{}}
+	explained := map[*end]bool{}
+	blames := t.blames(episodes, explained)
+	for _, b := range blames {
+		v.live[b.key] = len(b.ends)
+	}
+	for len(blames) > 0 && blames[0].score >= heldEnds {
+		worst := blames[0]
+		v.held[worst.key] = heldKey{ends: len(worst.ends), lastEnd: worst.ends[len(worst.ends)-1].at}
+		for _, e := range worst.ends {
+			explained[e] = true
+		}
+		blames = t.blames(episodes, explained)
+	}
+	for _, b := range blames {
+		if b.score >= suspectEnds {
+			v.suspects[b.key] = true
+		}
+	}
+	return v
+}
+
+// blames returns what speaks against each key that is not cleared, the worst first.
+func (t *Tracker) blames(episodes []episode, explained map[*end]bool) []blame {
+	found := map[Key]*tally{}
+	for i := range episodes {
+		for _, e := range episodes[i].ends {
+			if !explained[e] {
+				t.tallyEnd(found, i, e)
+			}
+		}
+	}
+	list := make([]blame, 0, len(found))
+	for key, sum := range found {
+		list = append(list, blame{key: key, specificity: sum.specificity, ends: sum.ends, score: sum.score(episodes)})
+	}
+	slices.SortFunc(list, func(a, b blame) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.specificity, a.specificity), cmp.Compare(a.key, b.key))
+	})
+	return list
+}
+
+// tally collects the ends against one key.
+type tally struct {
+	specificity int
+	ends        []*end
+	byEpisode   map[int]int // ends
+	attempts    map[Attempt]bool
+}
+
+func (t *Tracker) tallyEnd(found map[Key]*tally, episode int, e *end) {
+	counted := map[Key]bool{}
+	for attempt, keys := range e.blamed {
+		for position, key := range keys {
+			if !t.isLive(e, key) {
+				continue
+			}
+			sum, ok := found[key]
+			if !ok {
+				sum = &tally{byEpisode: map[int]int{}, attempts: map[Attempt]bool{}}
+				found[key] = sum
+			}
+			sum.specificity = max(sum.specificity, position)
+			sum.attempts[attempt] = true
+			if !counted[key] {
+				counted[key] = true
+				sum.ends = append(sum.ends, e)
+				sum.byEpisode[episode]++
+			}
+		}
+	}
+}
+
+// score returns how many ends count against a key. No more count than there were attempts,
+// as an attempt ends one server, while it is in flight on many.
+func (s *tally) score(episodes []episode) int {
+	sum := 0
+	for i, ends := range s.byEpisode {
+		if episodes[i].open || len(episodes[i].ends) >= massEnds {
+			ends = 1
+		}
+		sum += ends
+	}
+	return min(sum, len(s.attempts))
+}
