--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -6,6 +6,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/ejection"
+	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 const (
@@ -165,6 +166,14 @@
 	return false
 }
 
+// Serving reports whether an incarnation is listed and has not announced its shutdown.
+func (f *Fleet) Serving(incarnation poison.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[incarnation.Server]
+	return ok && !s.Draining && poison.IncarnationOf(s.Backend) == incarnation
+}
+
 // RemoveReplaced removes a backend server after another one has responded at its
 // address. A later update of the backend list may add it again.
 func (f *Fleet) RemoveReplaced(id deployment.BackendID) {
--- a/internal/backend/inflight.go
+++ b/internal/backend/inflight.go
@@ -17,6 +17,18 @@
 	servers []*server
 }
 
+// Servers returns the entries of the backend servers of the request, in the order of its
+// path.
+func (r *InFlightRequest) Servers() []deployment.Backend {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	servers := make([]deployment.Backend, 0, len(r.servers))
+	for _, s := range r.servers {
+		servers = append(servers, s.Backend)
+	}
+	return servers
+}
+
 // Result is the outcome of a request as recorded for the ejection of the backend server.
 type Result int
 
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -119,14 +120,15 @@
 	return response, nil
 }
 
-// Reachable reports whether a backend server accepts connections.
-func (t *Transport) Reachable(ctx context.Context, address deployment.Address) bool {
+// Refused reports whether the machine of a backend server refuses connections to it, which
+// means that the server's process has ended. Without any response it reports false.
+func (t *Transport) Refused(ctx context.Context, address deployment.Address) bool {
 	connection, err := t.dialer.DialContext(ctx, "tcp4", string(address))
 	if err != nil {
-		return false
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	_ = connection.Close() // no data was sent
-	return true
+	return false
 }
 
 func exchange(connection net.Conn, request Request) (*Response, error) {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -68,7 +68,7 @@
 	case responded:
 		g.writeResponse(w, c, result)
 	case notRun:
-		g.respondError(w, c, errorResponse{status: http.StatusServiceUnavailable, code: "not-run", retryAfter: backendRetryAfter, cause: result.cause})
+		g.respondError(w, c, notRunResponse(result.cause))
 	case unknown:
 		g.respondError(w, c, unknownOutcomeResponse(ctx, result.cause))
 	}
@@ -90,7 +90,6 @@
 	copyResponseHeader(w.Header(), response.header)
 	w.WriteHeader(response.status)
 	_, err := w.Write(response.body)
-	g.crashes.reset(c.fingerprint)
 	g.logEnd(c, response.status, "answered", zap.NamedError("write", err))
 	g.Metrics.observeResponse(c, time.Now())
 }
@@ -115,6 +114,10 @@
 		if ctx.Err() != nil || b.call.remaining(now) < minAttemptTime {
 			return b.best
 		}
+		if err := b.gateway.ends.admit(now, b.call); err != nil {
+			b.record(notRun{cause: err})
+			return b.best
+		}
 		if b.call.attempts > 0 && !b.gateway.budget(b.call.service.Name).Take(now, false) {
 			return b.best
 		}
@@ -178,15 +181,29 @@
 	request.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(c.remaining(time.Now())))
 	request.Header.Set(platform.HeaderExpectBackend, string(inFlight.Backend.ID))
 	started := time.Now()
+	watched := b.gateway.ends.begin(c, inFlight.Servers(), false, nil)
 	result := b.roundTrip(ctx, inFlight, request)
 	b.gateway.logAttempt(c, inFlight.Backend, result, time.Since(started))
-	if _, mayHaveRun := result.(unknown); mayHaveRun && ctx.Err() == nil {
-		go b.gateway.checkCrash(c, inFlight.Backend, false)
-	}
+	b.finishWatched(ctx, watched, result)
 	inFlight.Done(time.Now(), backendResult(clientCtx, result))
 	return result
 }
 
+// finishWatched ends the watch over an attempt. If the request may have run, it finds out
+// whether the backend server has ended.
+func (b *bufferedRequest) finishWatched(ctx context.Context, watched *watchedAttempt, result outcome) {
+	now := time.Now()
+	if _, complete := result.(responded); complete {
+		b.gateway.ends.recordBegun(now, watched)
+	}
+	_, mayHaveRun := result.(unknown)
+	broke := mayHaveRun && ctx.Err() == nil
+	b.gateway.ends.finish(now, watched, broke)
+	if broke && b.gateway.ends.checkEnds(ctx, now, watched.servers) {
+		b.call.endedServer.Store(true)
+	}
+}
+
 // attemptTimeout returns how long an attempt may take. If an idempotent request has
 // attempts left, an unresponsive backend server is abandoned before the deadline.
 func (b *bufferedRequest) attemptTimeout(now time.Time) time.Duration {
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -24,6 +24,14 @@
 	cause      error
 }
 
+// notRunResponse returns the error response for a request that has not run.
+func notRunResponse(cause error) errorResponse {
+	if heldBackOf(cause) != nil {
+		return errorResponse{status: http.StatusServiceUnavailable, code: heldBackCode, retryAfter: heldBackRetryAfter, cause: cause}
+	}
+	return errorResponse{status: http.StatusServiceUnavailable, code: "not-run", retryAfter: retryAfter(cause), cause: cause}
+}
+
 // respondError writes, logs and counts an error response.
 func (g *Gateway) respondError(w http.ResponseWriter, c *call, e errorResponse) {
 	header := w.Header()
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,6 +14,7 @@
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
+	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -52,19 +54,24 @@
 	assert.Equal(t, backendResult(context.Background(), broken), backend.Failed)
 }
 
-// TestQuarantinedRequestGetsRetryAfter checks that a quarantined request is rejected
-// with a Retry-After of the quarantine's duration.
+// TestQuarantinedRequestGetsRetryAfter checks that a held request is rejected at once with
+// a Retry-After.
 func TestQuarantinedRequestGetsRetryAfter(t *testing.T) {
 	g := limitedGateway()
 	request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
 	request.Header.Set(platform.HeaderRequestID, "1")
 	accepted, rejection := g.accept(httptest.NewRecorder(), request, time.Now())
 	assert.Assert(t, rejection == nil)
-	for range crashThreshold {
-		g.crashes.record(time.Now(), accepted.fingerprint)
+	now := time.Now()
+	for i := range 3 {
+		g.MergePoisonEvidence(now, "peer", poison.Evidence{Ends: []poison.End{{
+			Incarnation: poison.Incarnation{Server: deployment.BackendID(fmt.Sprintf("i-%d", i))},
+			Age:         time.Duration(i) * time.Second,
+			Blamed:      []poison.Blamed{{Attempt: poison.Attempt(i), Keys: accepted.keys}},
+		}}})
 	}
 	response := httptest.NewRecorder()
 	g.ServeHTTP(response, request)
 	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
-	assert.Equal(t, response.Header().Get(platform.HeaderRetryAfter), platform.FormatRetryAfter(quarantineDuration))
+	assert.Equal(t, response.Header().Get(platform.HeaderRetryAfter), platform.FormatRetryAfter(heldBackRetryAfter))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,8 +13,8 @@
 // off after its header was written, the gateway closes the connection, so that the
 // client can't mistake the truncated response for a complete one.
 //
-// A request that repeatedly crashes the backend servers which run it (a poison
-// request) is quarantined: it is rejected without being forwarded.
+// A request is held back if backend servers have ended while they ran such requests (see
+// package poison): it is rejected without being forwarded.
 package gateway
 
 import (
@@ -22,13 +22,14 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/engine"
+	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
@@ -42,9 +43,8 @@
 	BackendClient *platform.BackendClient
 	Metrics       *Metrics
 	Logger        *zap.Logger
-	// OnBackendCrash is called when a request that may have run got no complete response
-	// and its backend server is unreachable about 30 ms later (see checkCrash).
-	OnBackendCrash func(request engine.Fingerprint, at deployment.BackendID)
+	// OnPoisonEvidence is called with what is new about ends of backend servers.
+	OnPoisonEvidence func(evidence poison.Evidence)
 	// OnSlowdownMeasured is called with each slowdown factor that a slowdown probe of
 	// this instance has fetched.
 	OnSlowdownMeasured func(id deployment.BackendID, factor float64)
@@ -57,7 +57,7 @@
 	Config
 	transport *backend.Transport
 	monitor   *streamMonitor
-	crashes   *crashTracker
+	ends      *endWatch
 
 	mu          sync.Mutex
 	services    map[deployment.ServiceName]*serviceState
@@ -76,11 +76,13 @@
 
 // New returns a Gateway. MonitorStreams must run beside it to detect stalled streams.
 func New(config Config) *Gateway {
+	transport := backend.NewTransport()
+	ends := newEndWatch(&config, transport)
 	return &Gateway{
 		Config:      config,
-		transport:   backend.NewTransport(),
-		monitor:     newStreamMonitor(config),
-		crashes:     newCrashTracker(),
+		transport:   transport,
+		monitor:     newStreamMonitor(config, ends),
+		ends:        ends,
 		services:    map[deployment.ServiceName]*serviceState{},
 		retryBounds: retryBounds(config.Settings),
 		instances:   initialInstanceCount,
@@ -144,10 +146,14 @@
 	service  *deployment.Service
 	version  deployment.Version
 	request  backend.Request
-	attempts int // including those that did not run
-	// fingerprint identifies equal requests, to detect those that crash backend servers.
-	fingerprint engine.Fingerprint
-	parts       []deployment.PromptPartID // of the prompt, in order
+	attempts int                       // including those that did not run
+	reroutes atomic.Int64              // of the current attempt and earlier ones
+	parts    []deployment.PromptPartID // of the prompt, in order
+	keys     []poison.Key
+	// endedServer is set once a backend server has ended during an attempt that had not
+	// begun to be answered.
+	endedServer atomic.Bool
+	trial       bool // sent although it is held
 }
 
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
@@ -208,9 +214,10 @@
 		Header: forwardedHeader(r.Header, decision.Team), Body: body,
 	}
 	c.parts = platform.ParsePromptParts(r.Header)
-	c.fingerprint = fingerprintOf(c.request, string(decision.Team))
-	if g.crashes.quarantined(now, c.fingerprint) {
-		return c, &errorResponse{status: http.StatusServiceUnavailable, code: "breaks-backend-servers", retryAfter: quarantineDuration}
+	c.keys = keysOf(c)
+	g.ends.admitTrial(now, c)
+	if err := g.ends.admit(now, c); err != nil {
+		return c, &errorResponse{status: http.StatusServiceUnavailable, code: heldBackCode, retryAfter: heldBackRetryAfter, cause: err}
 	}
 	return c, nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	responses   *prometheus.HistogramVec
 	failures    *prometheus.CounterVec
 	backendEnds *prometheus.CounterVec
+	heldKeys    prometheus.Gauge
 }
 
 // NewMetrics returns Metrics registered with registry.
@@ -32,9 +33,12 @@
 		}, []string{"code"}),
 	}
 	m.backendEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "mulberryhead_backend_ends_total", Help: "Notices that a backend server ended during a request, by who noticed it.",
+		Name: "mulberryhead_backend_ends_total", Help: "Ends of backend servers during requests, by who noticed them.",
 	}, []string{"source"})
-	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.backendEnds)
+	m.heldKeys = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "mulberryhead_held_keys", Help: "Parts of prompts, and whole requests, that are not sent because backend servers ended on them.",
+	})
+	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.backendEnds, m.heldKeys)
 	return m
 }
 
@@ -74,3 +78,5 @@
 func (m *Metrics) countBackendEnd(source noticeSource) {
 	m.backendEnds.WithLabelValues(string(source)).Inc()
 }
+
+func (m *Metrics) setHeldKeys(count int) { m.heldKeys.Set(float64(count)) }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -37,7 +37,8 @@
 
 // reserver is a request that can reserve capacity.
 type reserver interface {
-	// ready returns an error if the request may not be sent now.
+	// ready returns an error if the request may not be sent now. After a *heldBackError it
+	// does not wait any longer.
 	ready(now time.Time) error
 	// reserve finds a path and counts the request on it.
 	reserve(now time.Time) (reservation, error)
@@ -50,8 +51,9 @@
 	request    *admission.Request
 	reserver   reserver
 	reserved   chan reservation // capacity 1
-	rejected   chan struct{}    // closed on rejection, after retryAfter is set
+	rejected   chan struct{}    // closed on rejection, after retryAfter or heldBack is set
 	retryAfter time.Duration
+	heldBack   *heldBackError // nil if it was rejected for lack of capacity
 	enqueued   time.Time
 	// lastErr is why the last check made no reservation. It is nil if the request was
 	// never checked because earlier ones got no reservation.
@@ -70,9 +72,14 @@
 	return &queue{waiters: map[*admission.Request]*waiter{}}
 }
 
-// acquire waits for a reservation. The error is a *noCapacityError or that of ctx.
+// acquire waits for a reservation. The error is a *noCapacityError, a *heldBackError or that
+// of ctx.
 func (q *queue) acquire(ctx context.Context, request *admission.Request, reserver reserver) (reservation, error) {
-	w, result, ok := q.reserveOrEnqueue(time.Now(), request, reserver)
+	now := time.Now()
+	if heldBack := heldBackOf(reserver.ready(now)); heldBack != nil {
+		return reservation{}, heldBack
+	}
+	w, result, ok := q.reserveOrEnqueue(now, request, reserver)
 	if ok {
 		return result, nil
 	}
@@ -81,6 +88,9 @@
 		granted.queued = time.Since(w.enqueued)
 		return granted, nil
 	case <-w.rejected:
+		if w.heldBack != nil {
+			return reservation{}, w.heldBack
+		}
 		return reservation{}, &noCapacityError{retryAfter: w.retryAfter, waited: time.Since(w.enqueued), cause: w.lastErr}
 	case <-ctx.Done():
 		q.abandon(w)
@@ -140,6 +150,11 @@
 	for _, request := range q.admission.Ordered(now) {
 		w := q.waiters[request]
 		if w.lastErr = w.reserver.ready(now); w.lastErr != nil {
+			if w.heldBack = heldBackOf(w.lastErr); w.heldBack != nil {
+				q.admission.Remove(request)
+				delete(q.waiters, request)
+				close(w.rejected)
+			}
 			continue
 		}
 		var result reservation
--- a/internal/gateway/sse_test.go
+++ b/internal/gateway/sse_test.go
@@ -6,12 +6,9 @@
 	"strings"
 	"testing"
 	"testing/iotest"
-	"time"
 
-	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/prove"
 )
 
@@ -50,28 +47,3 @@
 		}
 	})
 }
-
-// TestCrashTrackerQuarantinesAfterThreshold checks that a request is quarantined after
-// crashThreshold crashes, and no longer once quarantineDuration has passed since the last
-// one.
-func TestCrashTrackerQuarantinesAfterThreshold(t *testing.T) {
-	now := time.Unix(1000, 0)
-	c := newCrashTracker()
-	request := engine.Fingerprint(1)
-	for range crashThreshold {
-		assert.Assert(t, !c.quarantined(now, request))
-		c.record(now, request)
-	}
-	assert.Assert(t, c.quarantined(now, request))
-	assert.Assert(t, !c.quarantined(now, engine.Fingerprint(2)))
-	assert.Assert(t, !c.quarantined(now.Add(2*quarantineDuration), request))
-}
-
-// TestCrashTrackerIsBounded records crashes of more requests than the tracker keeps.
-func TestCrashTrackerIsBounded(t *testing.T) {
-	c := newCrashTracker()
-	for i := range 3 * maxTrackedRequests {
-		c.record(time.Unix(1000, 0), engine.Fingerprint(i))
-	}
-	assert.Assert(t, len(c.counts) <= maxTrackedRequests)
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,7 +94,6 @@
 	}
 	switch outcome {
 	case streamComplete, streamErrorStatus:
-		g.crashes.reset(c.fingerprint)
 		g.logEnd(c, http.StatusOK, "answered", s.timingFields()...)
 		g.Metrics.observeResponse(c, time.Now())
 	case streamTruncated:
@@ -102,7 +101,7 @@
 		g.Metrics.countFailure("stream-cut")
 		panic(http.ErrAbortHandler) // closes the connection, so that the response can't be mistaken for a complete one
 	case streamNotRun:
-		g.respondError(s.writer, c, errorResponse{status: http.StatusServiceUnavailable, code: "not-run", retryAfter: retryAfter(cause), cause: cause})
+		g.respondError(s.writer, c, notRunResponse(cause))
 	case streamUnknown:
 		g.respondError(s.writer, c, unknownOutcomeResponse(ctx, cause))
 	}
@@ -180,9 +179,12 @@
 	}
 }
 
-// ready returns an error if the stream must not be sent now: the first attempt is
-// always allowed, later ones need a retry budget.
+// ready returns an error if the stream must not be sent now: a *heldBackError if it is held
+// back. The first attempt needs no retry budget, later ones do.
 func (s *stream) ready(now time.Time) error {
+	if err := s.gateway.ends.admit(now, s.call); err != nil {
+		return err
+	}
 	if s.call.attempts == 0 || s.gateway.budget(s.call.service.Name).CanTake(now, s.headerWritten) {
 		return nil
 	}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,9 +24,10 @@
 	path := reserved.path
 	s.call.attempts++
 	started := time.Now()
+	clientCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	monitored := s.gateway.monitor.add(s.call, reserved, cancel)
+	monitored := s.gateway.monitor.add(s.call, reserved, s.hasBegun(), cancel)
 	defer s.gateway.monitor.remove(monitored)
 	response, err := s.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, s.backendRequest(path, started))
 	outcome := streamComplete
@@ -38,14 +40,51 @@
 	if err != nil && monitored.interrupted.Load() {
 		err = errors.Join(errUnresponsiveStage, err)
 	}
-	monitored.end(time.Now())
-	if err != nil && s.notRunCause == nil && ctx.Err() == nil {
-		go s.gateway.checkCrash(s.call, reserved.inFlight.Backend, monitored.hasEvents.Load())
-	}
+	now := time.Now()
+	monitored.end(now)
+	s.gateway.ends.finish(now, monitored.watched(), err != nil)
+	suspected := s.suspectedOf(monitored, err)
 	s.logAttempt(reserved, started, monitored.hasEvents.Load(), err)
+	s.checkEnds(clientCtx, now, suspected)
 	return outcome, err
 }
 
+// hasBegun reports whether the answer to the request has begun.
+func (s *stream) hasBegun() bool { return s.hasLastEventID || s.timeToFirstEvent > 0 }
+
+// suspectedOf returns the stages that may have ended during an attempt that broke off: the
+// first one, unless it rejected the request, and those that don't respond.
+func (s *stream) suspectedOf(monitored *monitoredStream, err error) []deployment.Backend {
+	if err == nil || errors.Is(err, errWrite) {
+		return nil
+	}
+	path := monitored.path()
+	unresponsive := s.gateway.Fleet.SuspectsOn(path)
+	var suspected []deployment.Backend
+	for i, server := range monitored.watched().servers {
+		broke := i == 0 && !errors.Is(err, errNotExecuted)
+		if broke || slices.Contains(unresponsive, server.Address) {
+			suspected = append(suspected, server)
+		}
+	}
+	return suspected
+}
+
+// checkEnds checks whether stages have ended. It waits for the result before a retry only if
+// the answer has not begun: otherwise the request is not to blame.
+func (s *stream) checkEnds(ctx context.Context, now time.Time, suspected []deployment.Backend) {
+	if len(suspected) == 0 || ctx.Err() != nil {
+		return
+	}
+	if s.hasBegun() {
+		go s.gateway.ends.checkEnds(context.WithoutCancel(ctx), now, suspected)
+		return
+	}
+	if s.gateway.ends.checkEnds(ctx, now, suspected) {
+		s.call.endedServer.Store(true)
+	}
+}
+
 func (s *stream) backendRequest(path pipeline.Path, now time.Time) backend.Request {
 	request := s.call.request
 	request.Header = request.Header.Clone()
@@ -154,7 +193,10 @@
 			return err
 		}
 		s.recordEvent(time.Now())
+		watched := monitored.watched()
+		watched.recordEvent(s.lastEventAt)
 		if monitored.recordEvent(s.lastEventAt) {
+			s.gateway.ends.recordBegun(s.lastEventAt, watched)
 			s.gateway.Fleet.RecordFirstEvent(s.lastEventAt, monitored.path().IDs[0], s.lastEventAt.Sub(monitored.sent))
 		}
 		if err := s.relayEvent(next, reader.hasCompleteEvent()); err != nil {
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,15 +42,31 @@
 
 	mu      sync.Mutex
 	current reservation
+	watch   *watchedAttempt // on the current path
 	ended   bool
 }
 
+func (s *monitoredStream) watched() *watchedAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch
+}
+
 func (s *monitoredStream) reservation() reservation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.current
 }
 
+// rewatch replaces the watch over the stream once it goes on along another path.
+func (s *monitoredStream) rewatch(now time.Time, ends *endWatch, servers []deployment.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.watch = ends.move(now, s.watch, servers)
+	}
+}
+
 // resumable reports whether the stream may be sent again after it has run.
 func (s *monitoredStream) resumable() bool { return s.call.decision.Route.Resumable }
 
@@ -94,6 +111,7 @@
 // interrupted so that they are retried on another path.
 type streamMonitor struct {
 	config Config
+	ends   *endWatch
 
 	mu         sync.Mutex
 	streams    map[*monitoredStream]bool
@@ -103,15 +121,17 @@
 	lastMeasured   time.Time
 }
 
-func newStreamMonitor(config Config) *streamMonitor {
-	return &streamMonitor{config: config, streams: map[*monitoredStream]bool{}, lastProbed: map[deployment.Address]time.Time{},
+func newStreamMonitor(config Config, ends *endWatch) *streamMonitor {
+	return &streamMonitor{config: config, ends: ends, streams: map[*monitoredStream]bool{}, lastProbed: map[deployment.Address]time.Time{},
 		slowdownProbed: map[deployment.BackendID]time.Time{}}
 }
 
-func (m *streamMonitor) add(c *call, reserved reservation, interrupt context.CancelFunc) *monitoredStream {
+// add begins to monitor an attempt. begun is set if the request's answer has begun before.
+func (m *streamMonitor) add(c *call, reserved reservation, begun bool, interrupt context.CancelFunc) *monitoredStream {
 	now := time.Now()
 	stream := &monitoredStream{call: c, current: reserved, interrupt: interrupt, sent: now}
 	stream.lastEvent.Store(now.UnixNano())
+	stream.watch = m.ends.begin(c, reserved.inFlight.Servers(), begun, interrupt)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.streams[stream] = true
@@ -184,6 +204,9 @@
 func (m *streamMonitor) reroute(ctx context.Context, stream *monitoredStream) {
 	defer stream.rerouting.Store(false)
 	for range maxReroutes {
+		if !m.mayReroute(ctx, stream) {
+			break
+		}
 		to, ok := m.findReroute(time.Now(), stream)
 		if !ok {
 			break
@@ -192,6 +215,7 @@
 		m.config.Logger.Info("request moved", zap.String("request", stream.call.id), zap.Stringer("outcome", outcome),
 			zap.String("path", platform.FormatPath(to.path.Hops)), zap.String("full", string(at)), zap.NamedError("cause", err))
 		if outcome == platform.RerouteDone {
+			stream.rewatch(time.Now(), m.ends, to.inFlight.Servers())
 			stream.switchTo(time.Now(), to)
 			return
 		}
@@ -205,6 +229,27 @@
 	stream.interrupt()
 }
 
+// mayReroute finds out whether the stages that a stream waits for have ended, and reports
+// whether the stream may be sent to others: one whose answer has not begun may be to blame.
+func (m *streamMonitor) mayReroute(ctx context.Context, stream *monitoredStream) bool {
+	now := time.Now()
+	suspects := m.config.Fleet.SuspectsOn(stream.path())
+	var suspected []deployment.Backend
+	for _, server := range stream.watched().servers {
+		if slices.Contains(suspects, server.Address) {
+			suspected = append(suspected, server)
+		}
+	}
+	if stream.hasEvents.Load() {
+		go m.ends.checkEnds(ctx, now, suspected)
+		return true
+	}
+	if m.ends.checkEnds(ctx, now, suspected) {
+		stream.call.endedServer.Store(true)
+	}
+	return m.ends.admit(time.Now(), stream.call) == nil
+}
+
 // findReroute finds and reserves a path without the failed stage of a stream.
 func (m *streamMonitor) findReroute(now time.Time, stream *monitoredStream) (reservation, bool) {
 	service := stream.call.service
--- a/internal/gateway/streammonitor_test.go
+++ b/internal/gateway/streammonitor_test.go
@@ -56,9 +56,12 @@
 	)
 	start := time.Unix(1000, 0)
 	fleet, _ := testFleet(start)
-	m := newStreamMonitor(Config{Fleet: fleet, OnObservation: func(deployment.BackendID, backend.Observation) {}})
+	config := Config{Fleet: fleet, OnObservation: func(deployment.BackendID, backend.Observation) {}}
+	m := newStreamMonitor(config, newEndWatch(&config, nil))
 	path := pipeline.Path{Hops: []deployment.Hop{{Address: "10.0.0.1:80"}}, IDs: []deployment.BackendID{"i-1"}}
-	stream := m.add(&call{}, reservation{path: path}, func() {})
+	inFlight, ok := fleet.Begin(path)
+	assert.Assert(t, ok)
+	stream := m.add(&call{}, reservation{path: path, inFlight: inFlight}, false, func() {})
 	stream.lastEvent.Store(start.UnixNano())
 	stream.hasEvents.Store(true)
 	probes := 0
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -89,6 +89,8 @@
 		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads)}
 	case StageObserved:
 		wire.StageObserved = &wireStageObserved{Backend: string(m.Backend), What: int(m.What)}
+	case PoisonEvidence:
+		wire.PoisonEvidence = poisonEvidenceToWire(m.Evidence)
 	case Slowdown:
 		wire.Slowdown = &wireSlowdown{Backend: string(m.Backend), Factor: m.Factor}
 	case ForwardRequest:
@@ -155,6 +157,8 @@
 		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads), Retries: retriesFromWire(wire.StageLoads.Retries)}, nil
 	case wire.StageObserved != nil:
 		return StageObserved{Backend: deployment.BackendID(wire.StageObserved.Backend), What: backend.Observation(wire.StageObserved.What)}, nil
+	case wire.PoisonEvidence != nil:
+		return PoisonEvidence{Evidence: poisonEvidenceFromWire(wire.PoisonEvidence)}, nil
 	case wire.ZoneLoads != nil:
 		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads)}, nil
 	case wire.Slowdown != nil:
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
@@ -9,6 +10,7 @@
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 )
 
@@ -19,6 +21,14 @@
 		Hello{Instance: "a", Incarnation: uuid.Nil, Zone: "z"}, Heartbeat{Leaving: true}, DocumentsOffset{AsOf: 7},
 		DocumentsRequest{AsOf: 7}, DocumentsCheckpoint{Checkpoint: document.Checkpoint{AsOf: 7}},
 		LoadUpdates{Updates: []LoadUpdate{{Runner: "r", Queued: 1}}}, CrashNotice{Fingerprint: 7, Runner: "r"},
+		PoisonEvidence{Evidence: poison.Evidence{
+			Ends: []poison.End{{
+				Incarnation: poison.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
+				Blamed: []poison.Blamed{{Attempt: 3, Keys: []poison.Key{1, 2}}},
+			}},
+			Begun:  []poison.KeyAge{{Key: 1, Age: time.Second}},
+			Trials: []poison.KeyAge{{Key: 2, Age: time.Minute}},
+		}},
 		ForwardRequest{ID: 7, Key: "k"}, ForwardResponse{ID: 7, Status: 200},
 		StageLoads{Loads: map[deployment.BackendID]int{"b": 3}}, ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{"b": 3}},
 		StageObserved{Backend: "b", What: backend.StageSuspected},
@@ -46,6 +56,14 @@
 		StageLoads{Loads: map[deployment.BackendID]int{}, Retries: map[deployment.ServiceName]retrybudget.Spending{"s": {Allowed: 4.5, Spent: 1}}},
 		ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{}},
 		StageObserved{Backend: "b", What: backend.StageAccepted},
+		PoisonEvidence{Evidence: poison.Evidence{
+			Ends: []poison.End{{
+				Incarnation: poison.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
+				Blamed: []poison.Blamed{{Attempt: 3, Keys: []poison.Key{1, 2}}},
+			}},
+			Begun:  []poison.KeyAge{{Key: 1, Age: 1500 * time.Millisecond}},
+			Trials: []poison.KeyAge{{Key: 2, Age: time.Minute}},
+		}},
 	} {
 		data, err := Encode(m)
 		assert.NilError(t, err)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -192,6 +192,11 @@
 	m.sendMatching(message, func(l *link) bool { return l.peer.Zone == m.config.Self.Zone })
 }
 
+// BroadcastOtherZones queues a message on the links to other zones.
+func (m *Mesh) BroadcastOtherZones(message Message) {
+	m.sendMatching(message, func(l *link) bool { return l.peer.Zone != m.config.Self.Zone })
+}
+
 // Send queues a message to one instance. It reports whether there is a link, not
 // whether the message arrives.
 func (m *Mesh) Send(to instancelist.ID, message Message) bool {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -25,6 +25,7 @@
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
+	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/internal/topiccache"
@@ -121,13 +122,16 @@
 	Teams map[environment.TeamName]float64
 }
 
-// CrashNotice reports that a request was running on a runner or backend server
-// when that crashed.
+// CrashNotice reports that a request was running on a runner when that crashed.
 type CrashNotice struct {
 	Fingerprint engine.Fingerprint
-	// Runner is the runner's incarnation where the daemon sends the notice, and
-	// the backend server's ID where the router does.
-	Runner string
+	Runner      string // the incarnation
+}
+
+// PoisonEvidence carries what the sender knows of ends of backend servers, or what of it is
+// new.
+type PoisonEvidence struct {
+	Evidence poison.Evidence
 }
 
 // TopicRecordsRequest asks for the changes of a platform topic from an offset on. The
@@ -233,6 +237,7 @@
 func (LoadUpdates) isMessage()         {}
 func (Demand) isMessage()              {}
 func (CrashNotice) isMessage()         {}
+func (PoisonEvidence) isMessage()      {}
 func (TopicRecordsRequest) isMessage() {}
 func (TopicRecords) isMessage()        {}
 func (LeaseHolder) isMessage()         {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -160,4 +160,5 @@
 	StageLoads          *wireStageLoads          `cbor:"21,keyasint,omitempty"`
 	ZoneLoads           *wireZoneLoads           `cbor:"22,keyasint,omitempty"`
 	StageObserved       *wireStageObserved       `cbor:"23,keyasint,omitempty"`
+	PoisonEvidence      *wirePoisonEvidence      `cbor:"24,keyasint,omitempty"`
 }
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// EndedAt returns when an incarnation ended, and false if it is not known to have.
+func (t *Tracker) EndedAt(incarnation Incarnation) (time.Time, bool) {
+	known, ok := t.ends[incarnation]
+	if !ok {
+		return time.Time{}, false
+	}
+	return known.at, true
+}
+
+// Ended reports whether an incarnation is known to have ended.
+func (t *Tracker) Ended(incarnation Incarnation) bool {
+	_, ok := t.ends[incarnation]
+	return ok
+}
+
 // RecordEnd records that a server ended at a time, with the attempts of this instance that
 // are to be blamed. It returns what is new, to be sent to the other instances.
 func (t *Tracker) RecordEnd(now, at time.Time, incarnation Incarnation, blamed []Blamed) Evidence {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -13,7 +13,7 @@
 	// episodeLength groups ends. Those of an episode with massEnds or more have one cause,
 	// such as a rack that lost power, and count as one.
 	episodeLength = 300 * time.Millisecond
-	massEnds      = 5
+	massEnds      = 3
 )
 
 // verdicts are computed from the evidence and valid until it changes or an episode closes.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -13,7 +13,6 @@
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/engine"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/platform"
@@ -259,9 +258,12 @@
 	}
 }
 
-// HandleLink implements peer.Receiver. If this instance holds the lease of its zone, it
-// sends the fencing token to the new peer.
+// HandleLink implements peer.Receiver. It sends the new peer what is known of ends of backend
+// servers and, if this instance holds the lease of its zone, the fencing token.
 func (r *Router) HandleLink(from peer.Hello) {
+	if evidence, _ := r.gateway.PoisonEvidence(time.Now()); !evidence.Empty() {
+		r.mesh.Send(from.Instance, peer.PoisonEvidence{Evidence: evidence})
+	}
 	if token := r.controller.FencingToken(); token > 0 {
 		r.mesh.Send(from.Instance, r.leaseHolder(token))
 	}
@@ -341,8 +343,8 @@
 		r.fleet.RecordObservation(time.Now(), deployment.InstanceID(from.Instance), message.Backend, message.What)
 	case peer.Slowdown:
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
-	case peer.CrashNotice:
-		r.gateway.HandleCrashNotice(time.Now(), deployment.InstanceID(from.Instance), message.Fingerprint, deployment.BackendID(message.Runner))
+	case peer.PoisonEvidence:
+		r.handlePoisonEvidence(time.Now(), from, message)
 	}
 }
 
@@ -362,8 +364,3 @@
 	}
 	return nil
 }
-
-// broadcastCrash broadcasts a request that may have crashed a backend server.
-func (r *Router) broadcastCrash(request engine.Fingerprint, at deployment.BackendID) {
-	r.mesh.Broadcast(peer.CrashNotice{Fingerprint: request, Runner: string(at)})
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,7 +118,7 @@
 	r.store = platform.NewStoreClient(settings.StoreAddress, metrics.storeCall)
 	r.gateway = gateway.New(gateway.Config{
 		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient,
-		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnBackendCrash: r.broadcastCrash, OnSlowdownMeasured: r.broadcastSlowdown,
+		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnPoisonEvidence: r.broadcastPoisonEvidence, OnSlowdownMeasured: r.broadcastSlowdown,
 		OnObservation: r.broadcastObservation,
 	})
 	r.controller = placementcontroller.New(placementcontroller.Config{
@@ -180,6 +180,7 @@
 	go r.mesh.Run(untilDrained)
 	go r.followInstances(untilDrained)
 	go r.broadcastLoads(untilDrained)
+	go r.sharePoisonEvidence(untilDrained)
 	go r.keepRegistered(untilShutdown)
 	go r.controller.Run(untilShutdown)
 }
