--- a/internal/router/crowd_test.go
+++ b/internal/router/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -57,6 +58,9 @@
 		for i := 0; time.Now().Before(until); i++ {
 			for _, name := range names {
 				clients.Go(func() { sr.crowdClient(name, false, i) })
+				if sr.plainCrowd {
+					clients.Go(func() { sr.plainClient(name) })
+				}
 			}
 			time.Sleep(crowdInterval)
 		}
@@ -146,3 +150,51 @@
 		}
 	}
 }
+
+// plainClient sends a request that may be repeated, without a retry.
+func (sr *scriptRunner) plainClient(router string) {
+	got := crowdResult{attempt: 1, sent: time.Now(), result: sr.request(router, "any")}
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.crowd = append(sr.crowd, got)
+}
+
+// setLimit makes servers name a limit.
+func (sr *scriptRunner) setLimit(which, limit string) {
+	if limit == "none" {
+		limit = ""
+	}
+	for _, server := range sr.cluster.Servers() {
+		holdsFirst := server.Zone() == which && server.Layers().First == 0 && server.Layers().Len() > 0
+		if !server.Down() && (holdsFirst || which == "plain" && server.Plain()) {
+			server.SetLimit(limit)
+		}
+	}
+}
+
+func (sr *scriptRunner) checkLimits() {
+	sr.t.Helper()
+	for _, server := range sr.cluster.Servers() {
+		assert.Check(sr.t, server.LimitViolation() == "", server.LimitViolation())
+	}
+}
+
+func (sr *scriptRunner) checkCrowdWhole() {
+	sr.t.Helper()
+	failed := 0
+	var last error
+	for _, got := range sr.crowd {
+		if got.route == "stream" && got.attempt == 1 && got.err != nil {
+			failed, last = failed+1, got.err
+		}
+	}
+	assert.Check(sr.t, failed == 0, "%d of %d failed, the last one: %v", failed, len(sr.crowd), last)
+}
+
+func (sr *scriptRunner) checkCrowdTold() {
+	sr.t.Helper()
+	for _, got := range sr.crowd {
+		told := got.status == http.StatusServiceUnavailable && got.retryAfter != ""
+		assert.Check(sr.t, got.err == nil || told, "%s %s: %v", got.route, got.id, got.err)
+	}
+}
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -69,6 +69,13 @@
 //	                         "crash" and numbers end these servers half way
 //	held                     checks that the part was held in time, and that sound streams of
 //	                         the crowd began at the first attempt since then
+//	limit zone-a 4           makes the servers of a zone that hold the first layer, or
+//	                         "plain" ones, name a limit of requests a second; "none" ends it
+//	plain-crowd              adds requests that may be repeated to the crowd
+//	limits-kept              checks that no server got more requests than its limits allow
+//	crowd-whole              checks that each stream of the crowd got its whole answer
+//	crowd-told               checks that each request of the crowd got its whole answer or the
+//	                         time after which to come back
 //	none-held                checks that no request of the crowd was rejected as one that
 //	                         ends backend servers
 //
@@ -113,11 +120,12 @@
 	capacity platformtest.Capacity
 	layers   []deployment.LayerRange // of all servers in order, recorded by the remember command
 
-	pending sync.WaitGroup
-	mu      sync.Mutex
-	results []result
-	crowd   []crowdResult
-	harmful bool // the crowd has requests on which servers end
+	pending    sync.WaitGroup
+	mu         sync.Mutex
+	results    []result
+	crowd      []crowdResult
+	harmful    bool // the crowd has requests on which servers end
+	plainCrowd bool
 }
 
 type testRouter struct {
@@ -128,10 +136,11 @@
 
 // result is the outcome of one request, as the client sees it.
 type result struct {
-	route  string
-	id     string
-	status int
-	err    error // why the response is not the complete, correct one
+	route      string
+	id         string
+	status     int
+	retryAfter string
+	err        error // why the response is not the complete, correct one
 }
 
 func newScriptRunner(t *testing.T) *scriptRunner {
@@ -216,6 +225,16 @@
 		sr.runCrowd(time.Duration(sr.number(fields[1]))*time.Second, fields[2:])
 	case "held":
 		sr.checkHeld()
+	case "limit":
+		sr.setLimit(fields[1], fields[2])
+	case "plain-crowd":
+		sr.plainCrowd = true
+	case "limits-kept":
+		sr.checkLimits()
+	case "crowd-whole":
+		sr.checkCrowdWhole()
+	case "crowd-told":
+		sr.checkCrowdTold()
 	case "none-held":
 		sr.checkNoneHeld()
 	case "pause":
@@ -400,6 +419,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	got.status = response.StatusCode
+	got.retryAfter = response.Header.Get(platform.HeaderRetryAfter)
 	data, err := io.ReadAll(response.Body)
 	got.err = checkResponse(route, body, response, data, err)
 	return got
