--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -7,6 +7,7 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/ejection"
 	"mulberryhead.org/mulberryhead/internal/poison"
+	"mulberryhead.org/mulberryhead/internal/serverlimit"
 )
 
 const (
@@ -40,6 +41,7 @@
 	// requests until then.
 	target      deployment.LayerRange
 	targetUntil time.Time
+	rate        serverlimit.Share // of the requests a second that the server takes
 }
 
 func (s *server) usable(now time.Time) bool {
@@ -55,11 +57,16 @@
 	synced   bool
 	outageAt time.Time // last time at which the list could not be read
 	load     sharedLoad
+	zone     deployment.Zone // of this instance
+	// peerLimits and zoneLimits are what the others have told of servers with a limit.
+	peerLimits toldLimits
+	zoneLimits toldLimits
 }
 
-// NewFleet returns an empty fleet.
-func NewFleet() *Fleet {
+// NewFleet returns an empty fleet of an instance in a zone.
+func NewFleet(zone deployment.Zone) *Fleet {
 	return &Fleet{
+		zone: zone, peerLimits: toldLimits{}, zoneLimits: toldLimits{},
 		servers: map[deployment.BackendID]*server{}, unlisted: map[deployment.BackendID]unlistedServer{}, load: newSharedLoad(),
 	}
 }
--- a/internal/backend/inflight.go
+++ b/internal/backend/inflight.go
@@ -67,7 +67,7 @@
 	var best *server
 	var bestRank rank
 	for _, s := range f.servers {
-		if s.Service != service.Name || s.Draining || tried[s.ID] || !f.mayConnect(s, service) {
+		if s.Service != service.Name || s.Draining || tried[s.ID] || !f.mayConnect(s, service) || !f.mayStartWithinLimit(now, s) {
 			continue
 		}
 		r := rankOf(now, s, zone)
@@ -80,6 +80,7 @@
 	}
 	best.inFlight++
 	best.connections++
+	best.rate.RecordArrival(now)
 	return &InFlightRequest{Backend: best.Backend, fleet: f, servers: []*server{best}}, true
 }
 
@@ -142,7 +143,7 @@
 
 // Begin counts a request as in flight on all stages of a path. It returns false if the
 // first stage is no longer listed.
-func (f *Fleet) Begin(path pipeline.Path) (*InFlightRequest, bool) {
+func (f *Fleet) Begin(now time.Time, path pipeline.Path) (*InFlightRequest, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first, ok := f.servers[path.IDs[0]]
@@ -157,5 +158,6 @@
 		}
 	}
 	first.connections++
+	first.rate.RecordArrival(now)
 	return request, true
 }
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -83,7 +83,7 @@
 	if stage.Layers.First > 0 {
 		return true
 	}
-	return f.mayConnect(s, service) && (s.Slots == 0 || stage.Requests < s.Slots)
+	return f.mayConnect(s, service) && (s.Slots == 0 || stage.Requests < s.Slots) && f.mayStartWithinLimit(now, s)
 }
 
 // ServerStatus is a backend server of a model service, with how long it has been
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -123,6 +123,9 @@
 		}
 		inFlight, ok := b.gateway.Fleet.Pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
 		if !ok {
+			if b.gateway.Fleet.Limited(b.call.service.Name) {
+				b.record(notRun{cause: newLimitReachedError(b.call.service.Name)})
+			}
 			return b.best
 		}
 		b.tried[inFlight.Backend.ID] = true
@@ -251,6 +254,8 @@
 	}
 	if backendReplaced(response.Response, inFlight.Backend.ID) {
 		b.gateway.Fleet.RemoveReplaced(inFlight.Backend.ID)
+	} else {
+		b.gateway.recordLimit(time.Now(), response.Response, inFlight.Backend.ID)
 	}
 	if notExecuted(response.Response) {
 		return notRun{cause: fmt.Errorf("%w: status %d", errNotExecuted, response.StatusCode)}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -23,7 +23,7 @@
 
 // backendOnlyHeaders are sent by backend servers for the router and removed from
 // responses to clients.
-var backendOnlyHeaders = []string{platform.HeaderLoad, platform.HeaderBackendAtFault}
+var backendOnlyHeaders = []string{platform.HeaderLoad, platform.HeaderLimit, platform.HeaderBackendAtFault}
 
 func removeHopByHopHeaders(header http.Header) {
 	for _, listed := range header.Values("Connection") {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -121,6 +121,10 @@
 	if errors.As(cause, &noCapacity) {
 		return noCapacity.retryAfter
 	}
+	var limitReached *limitReachedError
+	if errors.As(cause, &limitReached) {
+		return limitReached.retryAfter
+	}
 	return backendRetryAfter
 }
 
@@ -200,7 +204,7 @@
 	if s.call.attempts > 0 && !s.gateway.budget(s.call.service.Name).Take(now, s.headerWritten) {
 		return reservation{}, errBudgetSpent
 	}
-	inFlight, ok := s.gateway.Fleet.Begin(path)
+	inFlight, ok := s.gateway.Fleet.Begin(now, path)
 	if !ok {
 		return reservation{}, errNoPath
 	}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -124,6 +124,9 @@
 // handleResponse relays a backend server's response or records its rejection.
 func (s *stream) handleResponse(response *backend.Response, monitored *monitoredStream, sent time.Time) (streamOutcome, error) {
 	path := monitored.path()
+	if !backendReplaced(response.Response, path.IDs[0]) {
+		s.gateway.recordLimit(time.Now(), response.Response, path.IDs[0])
+	}
 	if notExecuted(response.Response) {
 		return 0, s.recordRejection(response, path, sent)
 	}
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -269,7 +269,7 @@
 		// another zone is computed there from the request instead.
 		return reservation{}, false
 	}
-	inFlight, ok := m.config.Fleet.Begin(rerouted)
+	inFlight, ok := m.config.Fleet.Begin(now, rerouted)
 	return reservation{path: rerouted, inFlight: inFlight}, ok
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -84,9 +84,9 @@
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
 	case StageLoads:
-		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries)}
+		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits)}
 	case ZoneLoads:
-		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads)}
+		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads), Limits: limitsToWire(m.Limits)}
 	case StageObserved:
 		wire.StageObserved = &wireStageObserved{Backend: string(m.Backend), What: int(m.What)}
 	case PoisonEvidence:
@@ -154,13 +154,13 @@
 		id, layers := wire.LayersOrdered.layers()
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
 	case wire.StageLoads != nil:
-		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads), Retries: retriesFromWire(wire.StageLoads.Retries)}, nil
+		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads), Retries: retriesFromWire(wire.StageLoads.Retries), Limits: limitsFromWire(wire.StageLoads.Limits)}, nil
 	case wire.StageObserved != nil:
 		return StageObserved{Backend: deployment.BackendID(wire.StageObserved.Backend), What: backend.Observation(wire.StageObserved.What)}, nil
 	case wire.PoisonEvidence != nil:
 		return PoisonEvidence{Evidence: poisonEvidenceFromWire(wire.PoisonEvidence)}, nil
 	case wire.ZoneLoads != nil:
-		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads)}, nil
+		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads), Limits: limitsFromWire(wire.ZoneLoads.Limits)}, nil
 	case wire.Slowdown != nil:
 		return Slowdown{Backend: deployment.BackendID(wire.Slowdown.Backend), Factor: wire.Slowdown.Factor}, nil
 	case wire.ForwardRequest != nil:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -176,17 +176,20 @@
 }
 
 // StageLoads reports how many requests of the sender are in flight on each backend server
-// of a model, and what it has spent of the retries to each service.
+// of a model, what it has spent of the retries to each service, and what it knows of backend
+// servers with a limit and has sent to them.
 type StageLoads struct {
 	Loads   map[deployment.BackendID]int
 	Retries map[deployment.ServiceName]retrybudget.Spending
+	Limits  backend.LimitReports
 }
 
 // ZoneLoads reports how many requests of all instances of a zone are in flight on each
-// backend server of a model.
+// backend server of a model, and what they know of backend servers with a limit.
 type ZoneLoads struct {
-	Zone  deployment.Zone
-	Loads map[deployment.BackendID]int
+	Zone   deployment.Zone
+	Loads  map[deployment.BackendID]int
+	Limits backend.LimitReports
 }
 
 // StageObserved reports what the sender has observed of a backend server of a model.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -106,6 +106,16 @@
 type wireStageLoads struct {
 	Loads   map[string]int          `cbor:"1,keyasint"`
 	Retries map[string]wireSpending `cbor:"2,keyasint,omitempty"`
+	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
+}
+
+type wireLimit struct {
+	_            struct{} `cbor:",toarray"`
+	PerSecond    float64
+	NamedMillis  int64 // since it was named
+	Answered     bool
+	LiftedMillis int64 // since an answer without a limit
+	Sent         float64
 }
 
 type wireSpending struct {
@@ -115,8 +125,9 @@
 }
 
 type wireZoneLoads struct {
-	Zone  string         `cbor:"1,keyasint"`
-	Loads map[string]int `cbor:"2,keyasint"`
+	Zone   string               `cbor:"1,keyasint"`
+	Loads  map[string]int       `cbor:"2,keyasint"`
+	Limits map[string]wireLimit `cbor:"3,keyasint,omitempty"`
 }
 
 type wireStageObserved struct {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/logging"
 )
 
@@ -15,7 +16,7 @@
 	violations prometheus.Counter
 }
 
-func newMetrics(registry *prometheus.Registry, sink *logging.Sink) *metrics {
+func newMetrics(registry *prometheus.Registry, sink *logging.Sink, fleet *backend.Fleet) *metrics {
 	m := &metrics{
 		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "mulberryhead_store_call_seconds", Help: "Time of a call to the platform's store.",
@@ -28,7 +29,10 @@
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "mulberryhead_log_lines_dropped_total", Help: "Log lines that were dropped because the reader was too slow.",
 	}, func() float64 { return float64(sink.Dropped()) })
-	registry.MustRegister(m.storeCalls, m.violations, dropped)
+	limited := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "mulberryhead_limited_servers", Help: "Backend servers that have named the requests a second that they take.",
+	}, func() float64 { return float64(fleet.LimitedServers()) })
+	registry.MustRegister(m.storeCalls, m.violations, dropped, limited)
 	return m
 }
 
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -178,12 +178,12 @@
 		now := time.Now()
 		r.sendZoneLoads(now)
 		r.gateway.ShareRetries(now)
-		loads := r.fleet.SnapshotLoads()
-		if unchanged++; maps.Equal(loads, last) && unchanged < unchangedLoadTicks {
+		loads, limits := r.fleet.SnapshotLoads(), r.fleet.LimitReports(now)
+		if unchanged++; maps.Equal(loads, last) && len(limits) == 0 && unchanged < unchangedLoadTicks {
 			continue
 		}
 		last, unchanged = loads, 0
-		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now)})
+		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits})
 	}
 }
 
@@ -201,7 +201,7 @@
 			continue
 		}
 		if message == nil {
-			message = peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now)}
+			message = peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now), Limits: r.fleet.ZoneLimitReports(now)}
 		}
 		r.mesh.Send(instance.Instance, message)
 	}
@@ -214,11 +214,19 @@
 		return
 	}
 	r.fleet.SetZoneLoads(now, message.Zone, message.Loads)
+	r.logLimitsTold(from, r.fleet.SetZoneLimits(now, message.Zone, message.Limits))
 	if from.Zone != instancelist.Zone(r.settings.Zone) && r.zoneRelays.due(now, message.Zone) {
 		r.mesh.BroadcastZone(message)
 	}
 }
 
+// logLimitsTold logs the backend servers whose limits have changed by what a peer told.
+func (r *Router) logLimitsTold(from peer.Hello, changed []deployment.BackendID) {
+	for _, id := range changed {
+		r.logger.Info("server limit told", zap.String("backend", string(id)), zap.String("told-by", string(from.Instance)))
+	}
+}
+
 // zoneRelays records when the load of each other zone was last relayed.
 type zoneRelays struct {
 	mu sync.Mutex
@@ -337,6 +345,7 @@
 		now := time.Now()
 		r.fleet.SetPeerLoads(now, deployment.InstanceID(from.Instance), message.Loads)
 		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
+		r.logLimitsTold(from, r.fleet.SetPeerLimits(now, deployment.InstanceID(from.Instance), message.Limits))
 	case peer.ZoneLoads:
 		r.handleZoneLoads(time.Now(), from, message)
 	case peer.StageObserved:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -109,12 +109,13 @@
 	sink := logging.NewSink(options.Output)
 	r := &Router{
 		settings: settings, options: options, sink: sink,
-		logger:        logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
-		registry:      prometheus.NewRegistry(),
-		backendClient: platform.NewBackendClient(), fleet: backend.NewFleet(), idle: newIdleConnections(),
+		logger:   logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
+		registry: prometheus.NewRegistry(),
+		fleet:    backend.NewFleet(settings.Zone), idle: newIdleConnections(),
 	}
+	r.backendClient = platform.NewBackendClient(func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
-	metrics := newMetrics(r.registry, sink)
+	metrics := newMetrics(r.registry, sink, r.fleet)
 	r.store = platform.NewStoreClient(settings.StoreAddress, metrics.storeCall)
 	r.gateway = gateway.New(gateway.Config{
 		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient,
