Bound the header of a backend server's response

A header without end was read into memory without a bound, and informational responses without end kept a request busy until its deadline. TestEndlessResponseHeadIsGivenUp did not end before (10 s timeout); TestLongBodyAfterTheHead checks that bodies have no such bound.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -134,11 +134,13 @@
 func exchange(connection net.Conn, request Request) (*Response, error) {
 	_, writeErr := connection.Write(encode(request))
 	// The server may have responded although the write failed.
-	reader := bufio.NewReaderSize(connection, readBufferSize)
+	head := &headReader{source: connection}
+	reader := bufio.NewReaderSize(head, readBufferSize)
 	response, err := readFinalResponse(reader, request.Method) //nolint:bodyclose // Response.Close closes the connection
 	if err != nil {
 		return nil, errors.Join(writeErr, err)
 	}
+	head.complete = true
 	if id := response.Header.Get(platform.HeaderRequestID); id != "" && id != request.ID {
 		return nil, errWrongRequestID
 	}
--- /dev/null
+++ b/internal/backend/transport_test.go
@@ -0,0 +1,95 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
+)
+
+// serveRaw starts a server that answers each connection with bytes from a function until that
+// fails, and returns its address and a channel that gets the bytes written to a connection.
+func serveRaw(t *testing.T, answer func(w io.Writer) error) (deployment.Address, <-chan int) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	written := make(chan int, 1)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, err = http.ReadRequest(bufio.NewReader(connection))
+		counter := &countingWriter{to: connection}
+		for err == nil {
+			err = answer(counter)
+		}
+		_ = connection.Close()
+		written <- counter.bytes
+	}()
+	return deployment.Address(listener.Addr().String()), written
+}
+
+type countingWriter struct {
+	to    io.Writer
+	bytes int
+}
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	n, err := c.to.Write(p)
+	c.bytes += n
+	return n, err
+}
+
+func getRequest() Request {
+	return Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "1", Header: http.Header{}}
+}
+
+// TestEndlessResponseHeadIsGivenUp guards against a backend server whose header, or whose
+// informational responses, never end and fill the memory or keep a request until its deadline.
+func TestEndlessResponseHeadIsGivenUp(t *testing.T) {
+	for name, part := range map[string]string{
+		"one header line": strings.Repeat("a", 1024),
+		"header lines":    "X-A: " + strings.Repeat("a", 1024) + "\r\n",
+		"informational":   "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		started := false
+		address, written := serveRaw(t, func(w io.Writer) error {
+			if !started && name != "informational" {
+				started = true
+				_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nX-A: ")
+				return err
+			}
+			_, err := io.WriteString(w, part)
+			return err
+		})
+		_, err := NewTransport().Send(context.Background(), address, getRequest())
+		var incomplete *IncompleteResponseError
+		assert.Assert(t, errors.As(err, &incomplete), "%s: %v", name, err)
+		assert.Assert(t, errors.Is(err, errHeadTooLarge), "%s: %v", name, err)
+		<-written // the connection was closed
+	}
+}
+
+// TestLongBodyAfterTheHead checks that the bound on the header does not apply to the body.
+func TestLongBodyAfterTheHead(t *testing.T) {
+	const size = 4 * maxHeadBytes
+	address, _ := serveRaw(t, func(w io.Writer) error {
+		_, err := io.WriteString(w, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("b", size))
+		return errors.Join(err, io.EOF)
+	})
+	response, err := NewTransport().Send(context.Background(), address, getRequest())
+	assert.NilError(t, err)
+	defer response.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), size)
+}
