--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -70,6 +70,7 @@
 			Requests: f.requestsOn(s), TimeToFirstEvent: s.firstEvent.expected(now),
 		}
 		stage.Full = !f.mayStart(now, s, service, &stage)
+		stage.AtLimit = !stage.Full && layers.First == 0 && !f.mayStartWithinLimit(now, s)
 		stages = append(stages, stage)
 	}
 	return stages
@@ -83,7 +84,7 @@
 	if stage.Layers.First > 0 {
 		return true
 	}
-	return f.mayConnect(s, service) && (s.Slots == 0 || stage.Requests < s.Slots) && f.mayStartWithinLimit(now, s)
+	return f.mayConnect(s, service) && (s.Slots == 0 || stage.Requests < s.Slots)
 }
 
 // ServerStatus is a backend server of a model service, with how long it has been
@@ -92,6 +93,7 @@
 	deployment.Backend
 	UnavailableFor time.Duration
 	Unlisted       bool // its entry was removed, but it passed the health check
+	AtLimit        bool // it takes fewer requests a second than this instance wants to send
 }
 
 // ServerStatuses returns the backend servers of a service in a zone that are not draining.
@@ -103,7 +105,7 @@
 		if s.Service != service || s.Zone != zone || s.Draining {
 			continue
 		}
-		status := ServerStatus{Backend: s.Backend}
+		status := ServerStatus{Backend: s.Backend, AtLimit: s.rate.Denied(now)}
 		if !s.suspectSince.IsZero() {
 			status.UnavailableFor = now.Sub(s.suspectSince)
 		}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -32,6 +32,9 @@
 	// Full is set while the stage must get no new requests, but is expected to accept some
 	// soon.
 	Full bool
+	// AtLimit is set while the stage must not be the first one of a path, since it takes no
+	// more requests a second.
+	AtLimit bool
 	// TimeToFirstEvent is the time to the first event of recent requests whose path
 	// started at this stage, 0 if unknown.
 	TimeToFirstEvent time.Duration
@@ -271,6 +274,9 @@
 // of its last hop, its cost including the hop to next, and its number of hops.
 func (s *search) cheapest(at, next int, zone deployment.Zone, arrivals []int) (previous int, cost time.Duration, hops int, ok bool) {
 	if s.boundaries[at] == 0 {
+		if s.stages[next].AtLimit {
+			return 0, 0, 0, false
+		}
 		if s.stages[next].Zone != zone {
 			cost = remoteZoneCost
 		}
--- a/internal/placementcontroller/ordertracker.go
+++ b/internal/placementcontroller/ordertracker.go
@@ -111,11 +111,23 @@
 			continue
 		}
 		byID[status.ID] = status.Backend
-		servers = append(servers, t.server(now, engine, status))
+		server := t.server(now, engine, status)
+		if isEntry(server.Layers, statuses) {
+			server.Layers = deployment.LayerRange{}
+		}
+		servers = append(servers, server)
 	}
 	var changes []change
 	for _, planned := range placement.Plan(engine, servers) {
-		changes = append(changes, change{server: byID[planned.ID], layers: planned.Layers})
+		if held := byID[planned.ID]; held.Layers != planned.Layers {
+			changes = append(changes, change{server: held, layers: planned.Layers})
+		}
+	}
+	if len(changes) > 0 {
+		return changes
+	}
+	if entry, ok := t.entryOrder(now, statuses); ok {
+		changes = append(changes, entry)
 	}
 	return changes
 }
--- a/internal/placementcontroller/ordertracker_test.go
+++ b/internal/placementcontroller/ordertracker_test.go
@@ -72,3 +72,28 @@
 	statuses[1].UnavailableFor = replaceAfter
 	assert.Equal(t, len(tracker.plan(now, testEngine(), statuses)), 2)
 }
+
+// TestEntryStagesForLimitedFirstStages: an empty backend server becomes an entry stage while
+// no first stage takes the requests that there are, one at a time. It still counts as empty
+// where a server is lost, and nothing is ordered where there is no need.
+func TestEntryStagesForLimitedFirstStages(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := newOrderTracker()
+	statuses := []backend.ServerStatus{status("a", 0, 27), status("b", 27, 54), status("c", 54, 80), status("d", 0, 0)}
+	assert.Equal(t, len(tracker.plan(now, testEngine(), statuses)), 0)
+	statuses[0].AtLimit = true
+	changes := tracker.plan(now, testEngine(), statuses)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].server.ID, deployment.BackendID("d"))
+	assert.Equal(t, changes[0].layers, entryLayers)
+	tracker.recordOrder(now, testEngine(), changes[0])
+	assert.Equal(t, len(tracker.plan(now, testEngine(), statuses)), 0, "it is under way")
+
+	statuses[3].Layers = entryLayers
+	assert.Equal(t, len(tracker.plan(now, testEngine(), statuses)), 0)
+	statuses[2].UnavailableFor = replaceAfter
+	changes = tracker.plan(now, testEngine(), statuses)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].server.ID, deployment.BackendID("d"))
+	assert.DeepEqual(t, changes[0].layers, deployment.LayerRange{First: 54, End: 80})
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -76,6 +76,7 @@
 	grantedAt time.Time
 	part      float64 // of what is offered, 0 for an equal one
 	denied    bool    // since the last grant
+	deniedAt  time.Time
 }
 
 // IsLimit reports whether a number is a limit.
@@ -166,10 +167,17 @@
 	}
 	s.expire(now)
 	s.grant(now, random)
-	s.denied = s.denied || len(s.permits) == 0
+	if len(s.permits) == 0 {
+		s.denied, s.deniedAt = true, now
+	}
 	return len(s.permits) > 0
 }
 
+// Denied reports whether a request could not be sent lately for the limit.
+func (s *Share) Denied(now time.Time) bool {
+	return s.Limited() && now.Sub(s.deniedAt) < permitLifetime
+}
+
 // grant takes this instance's part of the room for the time since the last grant.
 func (s *Share) grant(now time.Time, random func() float64) {
 	elapsed := now.Sub(s.grantedAt)
