--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -151,6 +151,8 @@
 		f.servers[entry.ID] = &server{Backend: entry}
 		return true
 	}
+	// An incarnation that leaves does not come back, whatever an older copy of the list says.
+	entry.Draining = entry.Draining || known.Draining
 	changed := known.Backend != entry || !known.missingSince.IsZero()
 	known.Backend = entry
 	known.missingSince = time.Time{}
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -335,3 +335,18 @@
 	request.Done(start, Succeeded)
 	assert.Equal(t, f.Stages(start, service)[0].Requests, 0)
 }
+
+// TestDrainingServerStaysSo guards against requests to a backend server that is leaving after
+// the store has come back from an older copy of the list, in which it was not.
+func TestDrainingServerStaysSo(t *testing.T) {
+	leaving := entry("i-1", 0, 80)
+	f := fleetOf(leaving)
+	leaving.Draining = true
+	f.Put(leaving)
+	leaving.Draining = false
+	f.Put(leaving)
+	assert.Equal(t, len(f.Stages(start, service)), 0)
+	leaving.StartedAt = start.Add(time.Second)
+	f.Put(leaving)
+	assert.Equal(t, len(f.Stages(start, service)), 1, "another incarnation")
+}
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -53,6 +53,8 @@
 //	                         reported as not executed must not have run
 //	remember                 records the layers that the servers hold
 //	unchanged                checks that the servers hold the recorded layers
+//	roll-back 2              makes the store come back from a copy without the last
+//	                         configurations
 //	forget                   makes the store drop all records but the latest of each key
 //	status a any 401         waits until a request gets a status
 //	fault 3 dark             injects a fault into a server (see below)
@@ -213,6 +215,8 @@
 		sr.layers = sr.heldLayers()
 	case "unchanged":
 		assert.DeepEqual(sr.t, sr.heldLayers(), sr.layers)
+	case "roll-back":
+		sr.store.RollBack(platform.ConfigurationTopic, sr.number(fields[1]))
 	case "forget":
 		sr.store.Compact(platform.ConfigurationTopic)
 		sr.store.Compact(platform.BackendsTopic)
