--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -282,10 +284,12 @@
 	}
 }
 
+// closeAll closes all links. Each removes itself, which needs m.mu.
 func (m *Mesh) closeAll() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, l := range m.links {
+	links := slices.Collect(maps.Values(m.links))
+	m.mu.Unlock()
+	for _, l := range links {
 		l.close()
 	}
 }
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -282,3 +282,29 @@
 		assert.Assert(t, highest <= test.maxDegree, "%T: %d", test.topology, highest)
 	}
 }
+
+// TestRunEndsWithOpenLinks guards against a mesh that waits for itself when it closes its
+// links at the end.
+func TestRunEndsWithOpenLinks(t *testing.T) {
+	b := startTestMember(t, "b", "zone")
+	a := &testMember{received: map[logservice.Offset]int{}}
+	a.mesh = NewMesh(Config{Self: Hello{Instance: "a", Incarnation: uuid.New(), Zone: "zone"}, Receiver: a, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		a.mesh.Run(ctx)
+		close(ended)
+	}()
+	a.mesh.SetInstances(time.Now(), []instancelist.Instance{b.instance()})
+	waitFor(t, "link", func() bool { return linked(a, b) })
+	cancel()
+	waitFor(t, "end of Run", func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+	assert.Equal(t, a.mesh.Stats().Links, 0)
+}
