A suspicion does not shorten a longer back-off of rejections

TestSuspicionKeepsALongerBackoff failed before: a stage that rejected everything got requests again when a later suspicion's 2.5 s were over.

--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -350,3 +350,16 @@
 	f.Put(leaving)
 	assert.Equal(t, len(f.Stages(start, service)), 1, "another incarnation")
 }
+
+// TestSuspicionKeepsALongerBackoff guards against a suspicion that lets requests to a stage
+// earlier than the rejections before it.
+func TestSuspicionKeepsALongerBackoff(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	for range rejectingThreshold + maxDoublings {
+		f.MarkFull(start, "i-1:80")
+	}
+	f.MarkSuspect(start, "i-1:80")
+	now := start.Add(suspectTimeout + time.Millisecond)
+	assert.Assert(t, !f.ClearSuspect(now, "i-1"), "the rejections still keep it out")
+	assert.Assert(t, f.ClearSuspect(start.Add(maxRejectionBackoff), "i-1"))
+}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -45,7 +45,7 @@
 	if fresh {
 		s.suspectSince = now
 	}
-	s.avoidUntil = now.Add(suspectTimeout)
+	s.avoidUntil = later(s.avoidUntil, now.Add(suspectTimeout))
 	return fresh
 }
 
