--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,7 +101,11 @@
 	return newRouter(settings, options).run(ctx)
 }
 
+// limitMemory sets the limit of the Go runtime, if the settings have one.
 func limitMemory(settings deployment.Settings) {
+	if settings.MemoryLimit <= 0 {
+		return
+	}
 	debug.SetMemoryLimit(int64(float64(settings.MemoryLimit) * memoryShare))
 }
 
