Ends of first stages dated by the connection; the watch over ends in files by job

Dating every end by the last event that passed the server could put ends of idle first stages at one moment, where they count as one. Only a stage further down a path is dated so; the first one ended when its connection broke off.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -202,7 +202,7 @@
 	_, mayHaveRun := result.(unknown)
 	broke := mayHaveRun && ctx.Err() == nil
 	b.gateway.ends.finish(now, watched, broke)
-	if broke && b.gateway.ends.checkEnds(ctx, now, watched.servers) {
+	if broke && b.gateway.ends.checkEnds(ctx, []suspectedEnd{{server: watched.servers[0], at: now}}) {
 		b.call.endedServer.Store(true)
 	}
 }
--- /dev/null
+++ b/internal/gateway/endcheck.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/poison"
+)
+
+const (
+	// endCheckDelay is the time between a failed attempt and the check whether its backend
+	// server has ended.
+	endCheckDelay   = 30 * time.Millisecond
+	endCheckTimeout = 300 * time.Millisecond
+)
+
+// suspectedEnd is a backend server that may have ended.
+type suspectedEnd struct {
+	server deployment.Backend
+	// at is when its connection broke off, zero for a stage further down the path: streams
+	// wait for a while for one that has ended.
+	at time.Time
+}
+
+// checkEnds checks which of the suspected backend servers have ended, and waits for the
+// results. It reports whether one has.
+func (e *endWatch) checkEnds(ctx context.Context, suspected []suspectedEnd) bool {
+	ended := false
+	for _, suspect := range suspected {
+		ended = e.checkEnd(ctx, suspect) || ended
+	}
+	return ended
+}
+
+// checkEnd checks whether a backend server has ended, unless that is known.
+func (e *endWatch) checkEnd(ctx context.Context, suspect suspectedEnd) bool {
+	incarnation := poison.IncarnationOf(suspect.server)
+	e.mu.Lock()
+	if e.tracker.Ended(incarnation) {
+		e.mu.Unlock()
+		e.recordEnd(time.Now(), suspect) // the attempt that asks may be blamed too
+		return true
+	}
+	done, underWay := e.checks[incarnation]
+	if !underWay {
+		done = make(chan struct{})
+		e.checks[incarnation] = done
+		go e.runCheck(suspect, done)
+	}
+	e.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tracker.Ended(incarnation)
+}
+
+// runCheck connects to a backend server. Where the connection is refused, the process has
+// ended; where it gets no response, the machine or the network may have failed.
+func (e *endWatch) runCheck(suspect suspectedEnd, done chan struct{}) {
+	incarnation := poison.IncarnationOf(suspect.server)
+	time.Sleep(endCheckDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	refused := e.transport.Refused(ctx, suspect.server.Address)
+	cancel()
+	if refused && e.config.Fleet.Serving(incarnation) {
+		e.recordEnd(time.Now(), suspect)
+	}
+	e.mu.Lock()
+	delete(e.checks, incarnation)
+	e.mu.Unlock()
+	close(done)
+}
+
+// recordEnd records that a backend server has ended, and blames this instance's attempts that
+// were in flight there.
+func (e *endWatch) recordEnd(now time.Time, suspect suspectedEnd) {
+	incarnation := poison.IncarnationOf(suspect.server)
+	e.mu.Lock()
+	at := e.endTime(now, suspect)
+	blamed := e.blamedFor(at, incarnation)
+	known := e.tracker.Ended(incarnation)
+	news := e.tracker.RecordEnd(now, at, incarnation, blamed)
+	e.changed(now, news)
+	e.mu.Unlock()
+	e.tell(news)
+	if !known {
+		e.logEnd(suspect.server, noticedHere, "", len(blamed))
+	}
+}
+
+// endTime returns when a backend server ended, as far as that is known: not later than its
+// connection broke off, or after it was last seen running.
+func (e *endWatch) endTime(now time.Time, suspect suspectedEnd) time.Time {
+	if !suspect.at.IsZero() {
+		return suspect.at
+	}
+	if seen := e.seenRunning(poison.IncarnationOf(suspect.server)); !seen.IsZero() {
+		return seen
+	}
+	return now
+}
+
+func (e *endWatch) logEnd(server deployment.Backend, source noticeSource, from deployment.InstanceID, blamed int) {
+	e.config.Metrics.countBackendEnd(source)
+	e.config.Logger.Info("backend server ended", zap.String("backend", string(server.ID)), zap.String("address", string(server.Address)),
+		zap.Time("started-at", server.StartedAt), zap.String("source", string(source)), zap.String("told-by", string(from)), zap.Int("blamed", blamed))
+}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -43,9 +43,9 @@
 	now := time.Now()
 	monitored.end(now)
 	s.gateway.ends.finish(now, monitored.watched(), err != nil)
-	suspected := s.suspectedOf(monitored, err)
+	suspected := s.suspectedOf(now, monitored, err)
 	s.logAttempt(reserved, started, monitored.hasEvents.Load(), err)
-	s.checkEnds(clientCtx, now, suspected)
+	s.checkEnds(clientCtx, suspected)
 	return outcome, err
 }
 
@@ -54,17 +54,19 @@
 
 // suspectedOf returns the stages that may have ended during an attempt that broke off: the
 // first one, unless it rejected the request, and those that don't respond.
-func (s *stream) suspectedOf(monitored *monitoredStream, err error) []deployment.Backend {
+func (s *stream) suspectedOf(now time.Time, monitored *monitoredStream, err error) []suspectedEnd {
 	if err == nil || errors.Is(err, errWrite) {
 		return nil
 	}
 	path := monitored.path()
 	unresponsive := s.gateway.Fleet.SuspectsOn(path)
-	var suspected []deployment.Backend
+	var suspected []suspectedEnd
 	for i, server := range monitored.watched().servers {
-		broke := i == 0 && !errors.Is(err, errNotExecuted)
-		if broke || slices.Contains(unresponsive, server.Address) {
-			suspected = append(suspected, server)
+		switch {
+		case i == 0 && !errors.Is(err, errNotExecuted):
+			suspected = append(suspected, suspectedEnd{server: server, at: now})
+		case slices.Contains(unresponsive, server.Address):
+			suspected = append(suspected, suspectedEnd{server: server})
 		}
 	}
 	return suspected
@@ -72,15 +74,15 @@
 
 // checkEnds checks whether stages have ended. It waits for the result before a retry only if
 // the answer has not begun: otherwise the request is not to blame.
-func (s *stream) checkEnds(ctx context.Context, now time.Time, suspected []deployment.Backend) {
+func (s *stream) checkEnds(ctx context.Context, suspected []suspectedEnd) {
 	if len(suspected) == 0 || ctx.Err() != nil {
 		return
 	}
 	if s.hasBegun() {
-		go s.gateway.ends.checkEnds(context.WithoutCancel(ctx), now, suspected)
+		go s.gateway.ends.checkEnds(context.WithoutCancel(ctx), suspected)
 		return
 	}
-	if s.gateway.ends.checkEnds(ctx, now, suspected) {
+	if s.gateway.ends.checkEnds(ctx, suspected) {
 		s.call.endedServer.Store(true)
 	}
 }
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -232,19 +232,18 @@
 // mayReroute finds out whether the stages that a stream waits for have ended, and reports
 // whether the stream may be sent to others: one whose answer has not begun may be to blame.
 func (m *streamMonitor) mayReroute(ctx context.Context, stream *monitoredStream) bool {
-	now := time.Now()
 	suspects := m.config.Fleet.SuspectsOn(stream.path())
-	var suspected []deployment.Backend
+	var suspected []suspectedEnd
 	for _, server := range stream.watched().servers {
 		if slices.Contains(suspects, server.Address) {
-			suspected = append(suspected, server)
+			suspected = append(suspected, suspectedEnd{server: server})
 		}
 	}
 	if stream.hasEvents.Load() {
-		go m.ends.checkEnds(ctx, now, suspected)
+		go m.ends.checkEnds(ctx, suspected)
 		return true
 	}
-	if m.ends.checkEnds(ctx, now, suspected) {
+	if m.ends.checkEnds(ctx, suspected) {
 		stream.call.endedServer.Store(true)
 	}
 	return m.ends.admit(time.Now(), stream.call) == nil
