Ends while no answer begins count as one (package poison)

Eight servers of both zones were lost, their ends came to be known over a second, and no answer began meanwhile that could clear the part, so three ends counted as three.

Without an answer to any request between two ends, whatever keeps all from beginning may have ended the servers too. Such ends are one episode now, of 1.2 s at most, so that three episodes still pass within stable-window-ms when nothing but bad requests is there. Each end says when the first answer of any instance began after it.

--- a/internal/peer/poisoncodec.go
+++ b/internal/peer/poisoncodec.go
@@ -18,7 +18,10 @@
 	Server    string
 	StartedAt int64 // Unix milliseconds
 	AgeMillis int64
-	Blamed    []wireBlamed
+	Answered  bool
+	// AnsweredMillis is the time since the first answer after the end.
+	AnsweredMillis int64
+	Blamed         []wireBlamed
 }
 
 type wireBlamed struct {
@@ -36,7 +39,8 @@
 func poisonEvidenceToWire(evidence poison.Evidence) *wirePoisonEvidence {
 	wire := &wirePoisonEvidence{Begun: keyAgesToWire(evidence.Begun), Trials: keyAgesToWire(evidence.Trials)}
 	for _, end := range evidence.Ends {
-		w := wireEnd{Server: string(end.Incarnation.Server), StartedAt: end.Incarnation.StartedAt, AgeMillis: end.Age.Milliseconds()}
+		w := wireEnd{Server: string(end.Incarnation.Server), StartedAt: end.Incarnation.StartedAt, AgeMillis: end.Age.Milliseconds(),
+			Answered: end.Answered, AnsweredMillis: end.AnsweredAge.Milliseconds()}
 		for _, blamed := range end.Blamed {
 			keys := make([]uint64, 0, len(blamed.Keys))
 			for _, key := range blamed.Keys {
@@ -54,7 +58,7 @@
 	for _, w := range wire.Ends {
 		end := poison.End{
 			Incarnation: poison.Incarnation{Server: deployment.BackendID(w.Server), StartedAt: w.StartedAt},
-			Age:         ageFromWire(w.AgeMillis),
+			Age:         ageFromWire(w.AgeMillis), Answered: w.Answered, AnsweredAge: ageFromWire(w.AnsweredMillis),
 		}
 		for _, blamed := range w.Blamed {
 			keys := make([]poison.Key, 0, len(blamed.Keys))
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -83,6 +83,9 @@
 type End struct {
 	Incarnation Incarnation
 	Age         time.Duration // since the end
+	// Answered is set once an answer to any request has begun after the end, AnsweredAge ago.
+	Answered    bool
+	AnsweredAge time.Duration
 	Blamed      []Blamed
 }
 
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -27,8 +27,9 @@
 
 // end is what is known of the end of one incarnation.
 type end struct {
-	at     time.Time // the earliest time that was told
-	blamed map[Attempt][]Key
+	at       time.Time // the earliest time that was told
+	answered time.Time // when the first answer to any request began after it, zero if none did
+	blamed   map[Attempt][]Key
 }
 
 // Tracker holds the evidence and computes verdicts from it.
@@ -40,6 +41,10 @@
 	begun    map[Key]time.Time // keys of ends
 	trials   map[Key]time.Time
 	ownBegun map[Key]time.Time
+	// lastBegun is when the last answer to any request began here, and unanswered holds the
+	// ends after which none is known to have begun.
+	lastBegun  time.Time
+	unanswered map[Incarnation]bool
 
 	verdicts verdicts
 }
@@ -49,7 +54,7 @@
 func NewTracker(jitter float64) *Tracker {
 	return &Tracker{
 		jitter: jitter, ends: map[Incarnation]*end{}, begun: map[Key]time.Time{}, trials: map[Key]time.Time{},
-		ownBegun: map[Key]time.Time{},
+		ownBegun: map[Key]time.Time{}, unanswered: map[Incarnation]bool{},
 	}
 }
 
@@ -77,7 +82,8 @@
 // RecordBegun records that the answer to a request with some keys has begun. It returns the
 // keys that this clears, to be sent to the other instances.
 func (t *Tracker) RecordBegun(now time.Time, keys []Key) Evidence {
-	var news Evidence
+	t.lastBegun = now
+	news := Evidence{Ends: t.answerEnds(now)}
 	for _, key := range keys {
 		t.recordOwnBegun(now, key)
 		if t.verdictsAt(now).live[key] == 0 {
@@ -90,6 +96,24 @@
 	return news
 }
 
+// answerEnds records that an answer has begun after the ends that had none, and returns them.
+func (t *Tracker) answerEnds(now time.Time) []End {
+	var ends []End
+	for incarnation := range t.unanswered {
+		known := t.ends[incarnation]
+		if known != nil && known.at.After(now) {
+			continue
+		}
+		delete(t.unanswered, incarnation)
+		if known != nil {
+			known.answered = now
+			ends = append(ends, End{Incarnation: incarnation, Age: now.Sub(known.at), Answered: true})
+			t.verdicts.valid = false
+		}
+	}
+	return ends
+}
+
 func (t *Tracker) recordOwnBegun(now time.Time, key Key) {
 	if _, known := t.ownBegun[key]; !known && len(t.ownBegun) >= maxOwnBegun {
 		maps.DeleteFunc(t.ownBegun, func(_ Key, at time.Time) bool { return now.Sub(at) > ownBegunTTL })
@@ -150,12 +174,17 @@
 	if !ok {
 		known = &end{at: at, blamed: map[Attempt][]Key{}}
 		t.ends[e.Incarnation] = known
+		t.unanswered[e.Incarnation] = true
 	}
 	isNew := !ok || known.at.Sub(at) > timeTolerance
 	if at.Before(known.at) {
 		known.at = at
 	}
-	fresh := End{Incarnation: e.Incarnation, Age: e.Age}
+	isNew = t.mergeAnswered(now, e, known) || isNew
+	fresh := End{Incarnation: e.Incarnation, Age: e.Age, Answered: !known.answered.IsZero()}
+	if fresh.Answered {
+		fresh.AnsweredAge = now.Sub(known.answered)
+	}
 	for _, b := range e.Blamed {
 		keys := b.Keys[:min(len(b.Keys), maxKeysOfAttempt)]
 		if _, has := known.blamed[b.Attempt]; has || len(known.blamed) >= maxBlamed || !t.anyLive(known, keys) {
@@ -167,6 +196,31 @@
 	return fresh, isNew || len(fresh.Blamed) > 0
 }
 
+// mergeAnswered records when an answer began after an end, as told or seen here. It reports
+// whether that is news.
+func (t *Tracker) mergeAnswered(now time.Time, e End, known *end) bool {
+	was := known.answered
+	if e.Answered {
+		known.answered = earliest(known.answered, now.Add(-e.AnsweredAge))
+	}
+	if known.answered.IsZero() && !t.lastBegun.Before(known.at) {
+		known.answered = t.lastBegun
+	}
+	if known.answered.IsZero() {
+		return false
+	}
+	delete(t.unanswered, e.Incarnation)
+	return was.IsZero() || was.Sub(known.answered) > timeTolerance
+}
+
+// earliest returns the earlier of two times, of which a may be zero for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (t *Tracker) earliestEnd() time.Time { return t.ends[t.incarnationsByTime()[0]].at }
 
 // mergeLatest keeps the latest time of each key, and returns those that are news.
@@ -219,7 +273,10 @@
 // wireEnd returns an end without the attempts that are cleared.
 func (t *Tracker) wireEnd(now time.Time, incarnation Incarnation) End {
 	known := t.ends[incarnation]
-	e := End{Incarnation: incarnation, Age: now.Sub(known.at)}
+	e := End{Incarnation: incarnation, Age: now.Sub(known.at), Answered: !known.answered.IsZero()}
+	if e.Answered {
+		e.AnsweredAge = now.Sub(known.answered)
+	}
 	for _, attempt := range slices.Sorted(maps.Keys(known.blamed)) {
 		if keys := known.blamed[attempt]; t.anyLive(known, keys) {
 			e.Blamed = append(e.Blamed, Blamed{Attempt: attempt, Keys: keys})
@@ -251,6 +308,7 @@
 	for incarnation, e := range t.ends {
 		if now.Sub(e.at) > evidenceTTL {
 			delete(t.ends, incarnation)
+			delete(t.unanswered, incarnation)
 		}
 		maps.DeleteFunc(e.blamed, func(_ Attempt, keys []Key) bool { return !t.anyLive(e, keys) })
 	}
@@ -258,6 +316,7 @@
 		for _, incarnation := range t.incarnationsByTime() {
 			if len(t.ends) > maxEnds && (len(t.ends[incarnation].blamed) > 0) == needed {
 				delete(t.ends, incarnation)
+				delete(t.unanswered, incarnation)
 			}
 		}
 	}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -14,6 +14,10 @@
 	// such as a rack that lost power, and count as one.
 	episodeLength = 300 * time.Millisecond
 	massEnds      = 3
+	// outageLength is how much longer an episode may be while no answer to any request begins:
+	// then servers may end for whatever keeps all requests from beginning. Three episodes end
+	// within the platform's stable-window-ms all the same.
+	outageLength = 1200 * time.Millisecond
 )
 
 // verdicts are computed from the evidence and valid until it changes or an episode closes.
@@ -62,16 +66,40 @@
 	ends []*end
 	// open is set while another end may still join.
 	open bool
+	// outage is set if no answer began between some of the ends.
+	outage bool
 }
 
-// episodes groups the ends by time. An episode is as long as episodeLength at most, so that
+// join adds an end that follows, and reports whether it belongs to the episode.
+func (e *episode) join(next *end) bool {
+	length := next.at.Sub(e.ends[0].at)
+	answered := e.ends[len(e.ends)-1].answered
+	outage := answered.IsZero() || answered.After(next.at)
+	if length >= episodeLength && (length >= outageLength || !outage) {
+		return false
+	}
+	e.outage = e.outage || length >= episodeLength
+	e.ends = append(e.ends, next)
+	return true
+}
+
+// closes returns when no further end can belong to the episode.
+func (e *episode) closes() time.Time {
+	if e.ends[len(e.ends)-1].answered.IsZero() {
+		return e.ends[0].at.Add(outageLength)
+	}
+	return e.ends[0].at.Add(episodeLength)
+}
+
+// countsOnce reports whether all ends of the episode are taken for one.
+func (e *episode) countsOnce() bool { return e.open || e.outage || len(e.ends) >= massEnds }
+
+// episodes groups the ends by time. An episode is as long as outageLength at most, so that
 // a flood of ends is not one episode.
 func (t *Tracker) episodes(now time.Time) (all []episode, until time.Time) {
 	for _, incarnation := range t.incarnationsByTime() {
 		e := t.ends[incarnation]
-		last := len(all) - 1
-		if last >= 0 && e.at.Sub(all[last].ends[0].at) < episodeLength {
-			all[last].ends = append(all[last].ends, e)
+		if len(all) > 0 && all[len(all)-1].join(e) {
 			continue
 		}
 		all = append(all, episode{ends: []*end{e}})
@@ -80,7 +108,7 @@
 		return nil, time.Time{}
 	}
 	latest := &all[len(all)-1]
-	closes := latest.ends[0].at.Add(episodeLength)
+	closes := latest.closes()
 	if now.Before(closes) {
 		latest.open = true
 		until = closes
@@ -179,7 +207,7 @@
 func (s *tally) score(episodes []episode) int {
 	sum := 0
 	for i, ends := range s.byEpisode {
-		if episodes[i].open || len(episodes[i].ends) >= massEnds {
+		if episodes[i].countsOnce() {
 			ends = 1
 		}
 		sum += ends
