--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -2,8 +2,8 @@
 // WebSocket links to each other: by default a full mesh inside an availability
 // zone and a few links to each other zone. The links carry CBOR messages:
 // membership gossip, offsets, records and checkpoints of documents, load reports,
-// crash notices, records of the platform's topics, placement state and forwarded
-// requests. Delivery is not guaranteed: a message that is queued on a link that ends
+// crash notices, evidence on ends of backend servers, records of the platform's topics,
+// placement state and forwarded requests. Delivery is not guaranteed: a message that is queued on a link that ends
 // is lost.
 //
 // Usage: create a Mesh with a Receiver, serve its Handler at LinkPath on the peer
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -15,7 +15,7 @@
 // Usage: record ends and begun answers, ask at each dispatch, and exchange evidence:
 //
 //	tracker := poison.NewTracker(jitter)
-//	tracker.RecordEnd(now, at, incarnation, held)
+//	tracker.RecordEnd(now, at, incarnation, blamed)
 //	tracker.RecordBegun(now, keys)
 //	if tracker.Judge(now, keys) == poison.Held { ... }
 //	news := tracker.Merge(now, evidence)
