--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,12 @@
 
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	state := &responseState{ResponseWriter: w}
+	defer g.recoverPanic(state, r)
+	g.serve(state, r)
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	c, rejection := g.accept(w, r, now)
 	if rejection != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	firstEvents *prometheus.HistogramVec
 	responses   *prometheus.HistogramVec
 	failures    *prometheus.CounterVec
+	cuts        *prometheus.CounterVec
 	backendEnds *prometheus.CounterVec
 	heldKeys    prometheus.Gauge
 }
@@ -32,13 +33,16 @@
 			Name: "mulberryhead_refusals_total", Help: "Requests that ended with an answer of the router's own.",
 		}, []string{"code"}),
 	}
+	m.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mulberryhead_stream_cuts_total", Help: "Streams that were broken off after their answer had begun, by what ended their last attempt.",
+	}, []string{"cause"})
 	m.backendEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "mulberryhead_backend_ends_total", Help: "Ends of backend servers during requests, by who noticed them.",
 	}, []string{"source"})
 	m.heldKeys = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberryhead_held_keys", Help: "Parts of prompts, and whole requests, that are not sent because backend servers ended on them.",
 	})
-	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.backendEnds, m.heldKeys)
+	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.cuts, m.backendEnds, m.heldKeys)
 	return m
 }
 
@@ -65,6 +69,9 @@
 // a client's disconnect.
 func (m *Metrics) countFailure(code string) { m.failures.WithLabelValues(code).Inc() }
 
+// countCut counts a stream that was broken off after its answer had begun.
+func (m *Metrics) countCut(cause breakCause) { m.cuts.WithLabelValues(string(cause)).Inc() }
+
 // noticeSource tells who noticed that a backend server has ended.
 type noticeSource string
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,6 +59,7 @@
 	timeToFirstEvent time.Duration // 0 before the first event
 	longestPause     time.Duration // between two events
 	notRunCause      error         // why no attempt has run, nil once one may have
+	brokenBy         breakCause    // of the last attempt
 }
 
 // streamOutcome is how a stream ended for the client.
@@ -77,7 +78,7 @@
 	defer cancel()
 	s := &stream{
 		gateway: g, call: c, writer: w, flusher: http.NewResponseController(w),
-		ran: map[deployment.BackendID]bool{}, lastEventAt: c.started,
+		ran: map[deployment.BackendID]bool{}, lastEventAt: c.started, brokenBy: neverBroken,
 	}
 	if id, err := strconv.ParseInt(r.Header.Get(platform.HeaderLastEventID), 10, 64); err == nil {
 		s.lastEventID, s.hasLastEventID = id, true
@@ -99,6 +100,7 @@
 	case streamTruncated:
 		g.logEnd(c, http.StatusOK, "stream-cut", append(s.timingFields(), zap.NamedError("cause", cause))...)
 		g.Metrics.countFailure("stream-cut")
+		g.Metrics.countCut(s.brokenBy)
 		panic(http.ErrAbortHandler) // closes the connection, so that the response can't be mistaken for a complete one
 	case streamNotRun:
 		g.respondError(s.writer, c, notRunResponse(cause))
@@ -255,5 +257,6 @@
 func (s *stream) timingFields() []zap.Field {
 	return []zap.Field{
 		zap.Int64("last-event", s.lastEventID), zap.Duration("first-event-ms", s.timeToFirstEvent), zap.Duration("longest-pause-ms", s.longestPause),
+		zap.Duration("since-event-ms", time.Since(s.lastEventAt)), zap.String("broken-by", string(s.brokenBy)),
 	}
 }
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -37,9 +37,11 @@
 	} else {
 		s.recordFailure(ctx, path, err)
 	}
-	if err != nil && monitored.interrupted.Load() {
+	left := monitored.interrupted.Load()
+	if err != nil && left {
 		err = errors.Join(errUnresponsiveStage, err)
 	}
+	s.brokenBy = breakCauseOf(err, left)
 	now := time.Now()
 	monitored.end(now)
 	s.gateway.ends.finish(now, monitored.watched(), err != nil)
--- a/internal/router/idle.go
+++ b/internal/router/idle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
@@ -17,6 +19,8 @@
 // than the active configuration allows. These limits may change while a connection is
 // open; the timeouts of http.Server can't.
 type idleConnections struct {
+	logger *zap.Logger
+
 	mu     sync.Mutex
 	states map[net.Conn]idleState
 }
@@ -27,8 +31,8 @@
 	noRequestYet bool // the connection has not carried a request
 }
 
-func newIdleConnections() *idleConnections {
-	return &idleConnections{states: map[net.Conn]idleState{}}
+func newIdleConnections(logger *zap.Logger) *idleConnections {
+	return &idleConnections{logger: logger, states: map[net.Conn]idleState{}}
 }
 
 // onStateChange is the ConnState hook of the server. A connection leaves StateNew or
@@ -57,14 +61,15 @@
 			return
 		case now := <-ticker.C:
 			if table, ok := routingTable.Load(); ok {
-				i.close(now, table.Limits())
+				i.close(now, table.Version(), table.Limits())
 			}
 		}
 	}
 }
 
-// close closes the connections that have been without a request for too long.
-func (i *idleConnections) close(now time.Time, limits deployment.Limits) {
+// close closes the connections that have been without a request for too long by the limits
+// of a version of the configuration.
+func (i *idleConnections) close(now time.Time, version deployment.Version, limits deployment.Limits) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for connection, state := range i.states {
@@ -72,6 +77,8 @@
 		if limit > 0 && now.Sub(state.since) > limit {
 			delete(i.states, connection)
 			_ = connection.Close() // the server's goroutine then fails to read and reports StateClosed
+			i.logger.Info("idle connection closed", zap.Stringer("client", connection.RemoteAddr()), zap.Bool("new", state.noRequestYet),
+				zap.Duration("idle-ms", now.Sub(state.since)), zap.Duration("limit-ms", limit), zap.Int64("configuration", int64(version)))
 		}
 	}
 }
--- a/internal/router/idle_test.go
+++ b/internal/router/idle_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -32,11 +33,11 @@
 			now := time.Unix(1000, 0)
 			server, client := net.Pipe()
 			defer func() { assert.Check(t, client.Close()) }()
-			idle := newIdleConnections()
+			idle := newIdleConnections(zap.NewNop())
 			for _, state := range c.states {
 				idle.recordState(now, server, state)
 			}
-			idle.close(now.Add(c.after), limits)
+			idle.close(now.Add(c.after), 1, limits)
 			assert.Equal(t, server.SetDeadline(time.Time{}) != nil, c.closed)
 		})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -27,6 +28,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -54,6 +56,8 @@
 	headerTimeout          = 30 * time.Second
 	maxHeaderBytes         = 1 << 20
 	auxiliaryHeaderTimeout = time.Second
+	// maxServerMessages bounds the lines of one text a second that net/http logs.
+	maxServerMessages = 5
 )
 
 // Options configure Run.
@@ -115,8 +119,9 @@
 		settings: settings, options: options, sink: sink,
 		logger:   logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
 		registry: prometheus.NewRegistry(),
-		fleet:    backend.NewFleet(settings.Zone), idle: newIdleConnections(),
+		fleet:    backend.NewFleet(settings.Zone),
 	}
+	r.idle = newIdleConnections(r.logger)
 	r.backendClient = platform.NewBackendClient(func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	metrics := newMetrics(r.registry, sink, r.fleet)
@@ -147,9 +152,7 @@
 	}
 	server := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: r.idle.onStateChange,
-		// Drops net/http's messages: those about misbehaving clients, and also its reports of
-		// handler panics and accept errors.
-		ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ErrorLog: r.clientServerLog(),
 	}
 	untilDrained, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -172,6 +175,15 @@
 	return nil
 }
 
+// clientServerLog returns the log for net/http's messages, such as errors of Accept. Of those
+// that misbehaving clients cause, some few a second are logged.
+func (r *Router) clientServerLog() *log.Logger {
+	bounded := r.logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, maxServerMessages, 0)
+	}))
+	return zap.NewStdLog(bounded.With(zap.String("source", "net/http")))
+}
+
 // startBackground starts the goroutines that run beside the serving of clients.
 // untilShutdown ends as soon as the instance begins to shut down, untilDrained after its
 // last request has completed.
