--- /dev/null
+++ b/internal/router/clientconnection_test.go
@@ -0,0 +1,175 @@
+package router
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
+)
+
+// raceListener accepts connections that call onRead between the read of a request's first
+// bytes and their return to net/http, which still takes the connection for idle then.
+type raceListener struct {
+	net.Listener
+	onRead func()
+}
+
+func (l raceListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &raceConnection{Conn: connection, onRead: l.onRead}, nil
+}
+
+type raceConnection struct {
+	net.Conn
+	onRead func()
+}
+
+func (c *raceConnection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 && err == nil {
+		c.onRead()
+	}
+	return n, err
+}
+
+// race is a server whose second request on a connection arrives as the connection is closed.
+type race struct {
+	clients *clientConnections
+	server  *http.Server
+	close   func(r *race)
+	// inHook makes the close come after the request was read, in the hook that reports it.
+	inHook  bool
+	reads   int
+	handled int
+}
+
+func newRace(inHook bool, closeIdle func(r *race)) *race {
+	r := &race{clients: newClientConnections(zap.NewNop()), close: closeIdle, inHook: inHook}
+	r.server = &http.Server{
+		ConnState: func(connection net.Conn, state http.ConnState) {
+			if inHook && state == http.StateActive && r.handled == 1 {
+				closeIdle(r)
+			}
+			r.clients.onStateChange(connection, state)
+		},
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { r.handled++ }),
+	}
+	return r
+}
+
+func (r *race) onRead() {
+	if r.reads++; r.reads == 2 && !r.inHook {
+		r.close(r)
+	}
+}
+
+// play sends two requests on one connection. It reports whether the second one is answered.
+func (r *race) play(t *testing.T) bool {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- r.server.Serve(clientListener{raceListener{Listener: listener, onRead: r.onRead}}) }()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	reader := bufio.NewReader(client)
+	answered := false
+	for range 2 {
+		_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		answered = err == nil
+		if answered {
+			assert.NilError(t, response.Body.Close())
+		}
+	}
+	assert.NilError(t, client.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	assert.NilError(t, r.server.Shutdown(ctx))
+	assert.NilError(t, r.clients.waitUntilIdle(ctx))
+	assert.ErrorIs(t, <-done, http.ErrServerClosed)
+	return answered
+}
+
+// TestRequestThatCrossesACloseIsAnsweredOrUnread guards against a request that is read whole
+// and handled while its connection is closed under it.
+func TestRequestThatCrossesACloseIsAnsweredOrUnread(t *testing.T) {
+	limits := deployment.Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Second}
+	sweep := func(r *race) {
+		for connection := range r.clients.idle {
+			r.clients.idle[connection] = idleState{since: time.Now().Add(-time.Hour)}
+		}
+		r.clients.close(time.Now(), 1, limits)
+	}
+	keepNone := func(r *race) { r.server.SetKeepAlivesEnabled(false) }
+	cases := []struct {
+		name   string
+		inHook bool
+		close  func(r *race)
+	}{
+		{"sweep as it arrives", false, sweep},
+		{"sweep once it was read", true, sweep},
+		{"stop as it arrives", false, keepNone},
+		{"stop once it was read", true, keepNone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRace(c.inHook, c.close)
+			answered := r.play(t)
+			assert.Equal(t, answered, r.handled == 2)
+			assert.Assert(t, !c.inHook || answered)
+		})
+	}
+}
+
+// TestCloseWaitsForRequestThatWasRead guards against a stop that closes a connection between
+// the read of a request and the report that it has begun.
+func TestCloseWaitsForRequestThatWasRead(t *testing.T) {
+	pipe, client := net.Pipe()
+	defer func() { assert.Check(t, client.Close()) }()
+	connection := newClientConnection(pipe)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(client, "GET /")
+		sent <- err
+	}()
+	_, err := connection.Read(make([]byte, 16))
+	assert.NilError(t, err)
+	assert.NilError(t, <-sent)
+	assert.NilError(t, connection.Close())
+	assert.Assert(t, connection.busy())
+	connection.setBetween(false)
+	assert.NilError(t, pipe.SetDeadline(time.Time{}))
+	assert.NilError(t, connection.Close())
+	assert.Assert(t, pipe.SetDeadline(time.Time{}) != nil)
+	assert.Assert(t, !connection.busy())
+}
+
+// TestLoweredIdleLimitClosesNoKeptConnection guards against a lowered limit that closes
+// connections which their clients still may use.
+func TestLoweredIdleLimitClosesNoKeptConnection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pipe, client := net.Pipe()
+	defer func() { assert.Check(t, client.Close()) }()
+	connection := newClientConnection(pipe)
+	clients := newClientConnections(zap.NewNop())
+	clients.recordState(now, connection, http.StateIdle)
+	high := deployment.Limits{HeaderTimeout: time.Second, IdleTimeout: 15 * time.Second}
+	low := deployment.Limits{HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+	clients.close(now.Add(time.Second), 1, high)
+	clients.close(now.Add(12*time.Second), 2, low)
+	assert.NilError(t, pipe.SetDeadline(time.Time{}))
+	clients.close(now.Add(17*time.Second), 2, low)
+	assert.Assert(t, pipe.SetDeadline(time.Time{}) != nil)
+}
--- a/internal/router/idle.go
+++ b/internal/router/idle.go
@@ -13,46 +13,58 @@
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
-const sweepInterval = time.Second
+const (
+	sweepInterval = time.Second
+	// busyCheckInterval is the interval at which a stop checks for requests in flight.
+	busyCheckInterval = 10 * time.Millisecond
+)
 
-// idleConnections closes client connections that have been without a request for longer
-// than the active configuration allows. These limits may change while a connection is
-// open; the timeouts of http.Server can't.
-type idleConnections struct {
+// clientConnections keeps track of the connections of clients. It closes those that have been
+// without a request for longer than the active configuration allows. These limits may change
+// while a connection is open; the timeouts of http.Server can't.
+type clientConnections struct {
 	logger *zap.Logger
 
-	mu     sync.Mutex
-	states map[net.Conn]idleState
+	mu   sync.Mutex
+	idle map[*clientConnection]idleState
+	open map[*clientConnection]bool
 }
 
 // idleState describes a connection that has no request.
 type idleState struct {
 	since        time.Time
 	noRequestYet bool // the connection has not carried a request
+	// limit is the longest time that a configuration has allowed it since then.
+	limit time.Duration
 }
 
-func newIdleConnections(logger *zap.Logger) *idleConnections {
-	return &idleConnections{logger: logger, states: map[net.Conn]idleState{}}
+func newClientConnections(logger *zap.Logger) *clientConnections {
+	return &clientConnections{logger: logger, idle: map[*clientConnection]idleState{}, open: map[*clientConnection]bool{}}
 }
 
-// onStateChange is the ConnState hook of the server. A connection leaves StateNew or
-// StateIdle once a complete header has been read from it.
-func (i *idleConnections) onStateChange(connection net.Conn, state http.ConnState) {
-	i.recordState(time.Now(), connection, state)
+// onStateChange is the ConnState hook of a server that listens with a clientListener. A
+// connection leaves StateNew or StateIdle once a complete header has been read from it.
+func (c *clientConnections) onStateChange(connection net.Conn, state http.ConnState) {
+	c.recordState(time.Now(), connection.(*clientConnection), state)
 }
 
-func (i *idleConnections) recordState(now time.Time, connection net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+func (c *clientConnections) recordState(now time.Time, connection *clientConnection, state http.ConnState) {
+	between := state == http.StateNew || state == http.StateIdle
+	connection.setBetween(between)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[connection] = true
+	delete(c.idle, connection)
 	switch state {
 	case http.StateNew, http.StateIdle:
-		i.states[connection] = idleState{since: now, noRequestYet: state == http.StateNew}
-	default:
-		delete(i.states, connection)
+		c.idle[connection] = idleState{since: now, noRequestYet: state == http.StateNew}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, connection)
+	case http.StateActive:
 	}
 }
 
-func (i *idleConnections) sweep(ctx context.Context, routingTable *routing.ActiveTable) {
+func (c *clientConnections) sweep(ctx context.Context, routingTable *routing.ActiveTable) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -61,26 +73,60 @@
 			return
 		case now := <-ticker.C:
 			if table, ok := routingTable.Load(); ok {
-				i.close(now, table.Version(), table.Limits())
+				c.close(now, table.Version(), table.Limits())
 			}
 		}
 	}
 }
 
 // close closes the connections that have been without a request for too long by the limits
-// of a version of the configuration.
-func (i *idleConnections) close(now time.Time, version deployment.Version, limits deployment.Limits) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for connection, state := range i.states {
+// of a version of the configuration. A limit that has been lowered holds for connections that
+// become idle later: clients keep to the one that they know.
+func (c *clientConnections) close(now time.Time, version deployment.Version, limits deployment.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for connection, state := range c.idle {
 		limit := idleLimit(state, limits)
-		if limit > 0 && now.Sub(state.since) > limit {
-			delete(i.states, connection)
-			_ = connection.Close() // the server's goroutine then fails to read and reports StateClosed
-			i.logger.Info("idle connection closed", zap.Stringer("client", connection.RemoteAddr()), zap.Bool("new", state.noRequestYet),
-				zap.Duration("idle-ms", now.Sub(state.since)), zap.Duration("limit-ms", limit), zap.Int64("configuration", int64(version)))
+		if limit == 0 {
+			continue
+		}
+		state.limit = max(state.limit, limit)
+		c.idle[connection] = state
+		idle := now.Sub(state.since)
+		if idle <= state.limit || !connection.closeBetween(now.Add(-limits.HeaderTimeout)) {
+			continue
+		}
+		delete(c.idle, connection)
+		c.logger.Info("idle connection closed", zap.Stringer("client", connection.RemoteAddr()), zap.Bool("new", state.noRequestYet),
+			zap.Duration("idle-ms", idle), zap.Duration("limit-ms", state.limit), zap.Int64("configuration", int64(version)))
+	}
+}
+
+// busy returns the number of connections on which a request is being read or in flight.
+func (c *clientConnections) busy() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for connection := range c.open {
+		if connection.busy() {
+			count++
+		}
+	}
+	return count
+}
+
+// waitUntilIdle waits until no request is being read or in flight, at most until ctx ends.
+func (c *clientConnections) waitUntilIdle(ctx context.Context) error {
+	ticker := time.NewTicker(busyCheckInterval)
+	defer ticker.Stop()
+	for c.busy() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
 		}
 	}
+	return nil
 }
 
 // idleLimit returns how long a connection may go without a complete header; 0 means no
--- a/internal/router/idle_test.go
+++ b/internal/router/idle_test.go
@@ -31,9 +31,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			server, client := net.Pipe()
+			pipe, client := net.Pipe()
 			defer func() { assert.Check(t, client.Close()) }()
-			idle := newIdleConnections(zap.NewNop())
+			server := newClientConnection(pipe)
+			idle := newClientConnections(zap.NewNop())
 			for _, state := range c.states {
 				idle.recordState(now, server, state)
 			}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,7 +82,7 @@
 	fleet         *backend.Fleet
 	gateway       *gateway.Gateway
 	controller    *placementcontroller.Controller
-	idle          *idleConnections
+	clients       *clientConnections
 	mesh          *peer.Mesh
 	zoneRelays    zoneRelays
 	shuttingDown  atomic.Bool
@@ -121,7 +121,7 @@
 		registry: prometheus.NewRegistry(),
 		fleet:    backend.NewFleet(settings.Zone),
 	}
-	r.idle = newIdleConnections(r.logger)
+	r.clients = newClientConnections(r.logger)
 	r.backendClient = platform.NewBackendClient(func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	metrics := newMetrics(r.registry, sink, r.fleet)
@@ -151,7 +151,7 @@
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	server := &http.Server{
-		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: r.idle.onStateChange,
+		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: r.clients.onStateChange,
 		ErrorLog: r.clientServerLog(),
 	}
 	untilDrained, stop := context.WithCancel(context.Background())
@@ -163,7 +163,7 @@
 	defer beginShutdown()
 	r.startBackground(untilDrained, untilShutdown)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(front) }()
+	go func() { failed <- server.Serve(clientListener{front}) }()
 	r.logger.Info("started", zap.String("front", string(r.settings.FrontAddress)), zap.String("zone", string(r.settings.Zone)))
 	select {
 	case err := <-failed:
@@ -191,7 +191,7 @@
 	go r.followConfiguration(untilDrained)
 	go r.followBackends(untilDrained)
 	go r.gateway.MonitorStreams(untilDrained)
-	go r.idle.sweep(untilDrained, &r.routingTable)
+	go r.clients.sweep(untilDrained, &r.routingTable)
 	go r.watchSettings(untilDrained)
 	go r.logPauses(untilDrained)
 	go r.mesh.Run(untilDrained)
@@ -215,7 +215,7 @@
 	time.Sleep(min(deregistrationDelay, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := errors.Join(server.Shutdown(ctx), r.clients.waitUntilIdle(ctx))
 	r.logger.Info("stopped", zap.Duration("took-ms", time.Since(started)), zap.NamedError("cut-off", err))
 }
 
