--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -99,7 +99,7 @@
 
 // NewTransport returns a Transport. It opens each connection with a short timeout.
 func NewTransport() *Transport {
-	return &Transport{dialer: platform.Dialer(connectTimeout)}
+	return &Transport{dialer: platform.Dialer(connectTimeout, platform.BackendSilence)}
 }
 
 // Send sends a request and reads the header of the response. When ctx is done, the
