--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -23,10 +23,13 @@
 	// maxBufferedAttempts bounds the attempts of a request, including those that did not
 	// run.
 	maxBufferedAttempts = 4
-	// attemptTimeoutTargets is the timeout of an attempt of an idempotent request in
-	// multiples of the route's target latency. The attempt is canceled before the next
-	// one is sent; there is no hedging.
+	// attemptTimeoutTargets is the time after which an attempt of an idempotent request is
+	// left for another backend server, in multiples of the route's target latency. The attempt
+	// is canceled before the next one is sent; there is no hedging.
 	attemptTimeoutTargets = 3
+	// nextServerInterval is the interval at which another backend server is looked for after
+	// that time.
+	nextServerInterval = 100 * time.Millisecond
 	// minAttemptTime is the minimum time left before the deadline for another attempt.
 	minAttemptTime = 10 * time.Millisecond
 )
@@ -101,6 +104,8 @@
 	tried   map[deployment.BackendID]bool
 	ran     int     // attempts that ran or may have run
 	best    outcome // returned if no better one follows (see record)
+	// next is reserved in place of the server of the last attempt, nil if none is.
+	next *backend.InFlightRequest
 }
 
 var errNoBackend = errors.New("no backend server is available for the service")
@@ -109,23 +114,14 @@
 // backend server, enough time or the retry budget, or after maxBufferedAttempts.
 func (b *bufferedRequest) run(ctx context.Context) outcome {
 	b.best = notRun{cause: errNoBackend}
+	defer b.releaseNext()
 	for range maxBufferedAttempts {
-		now := time.Now()
-		if ctx.Err() != nil || b.call.remaining(now) < minAttemptTime {
-			return b.best
-		}
-		if err := b.gateway.ends.admit(now, b.call); err != nil {
+		inFlight, err := b.takeNext(ctx)
+		if err != nil {
 			b.record(notRun{cause: err})
 			return b.best
 		}
-		if b.call.attempts > 0 && !b.gateway.budget(b.call.service.Name).Take(now, false) {
-			return b.best
-		}
-		inFlight, ok := b.gateway.Fleet.Pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
-		if !ok {
-			if b.gateway.Fleet.Limited(b.call.service.Name) {
-				b.record(notRun{cause: newLimitReachedError(b.call.service.Name)})
-			}
+		if inFlight == nil {
 			return b.best
 		}
 		b.tried[inFlight.Backend.ID] = true
@@ -138,6 +134,91 @@
 	return b.best
 }
 
+// takeNext returns the reservation for which the last attempt was left, or else makes one. It
+// returns nil without enough time.
+func (b *bufferedRequest) takeNext(ctx context.Context) (*backend.InFlightRequest, error) {
+	if next := b.next; next != nil {
+		b.next = nil
+		return next, nil
+	}
+	now := time.Now()
+	if ctx.Err() != nil || b.call.remaining(now) < minAttemptTime {
+		return nil, nil
+	}
+	return b.reserve(now)
+}
+
+// reserve chooses a backend server for the next attempt. It returns nil without one, or without
+// the retry budget. The error is a *heldBackError or a *limitReachedError.
+func (b *bufferedRequest) reserve(now time.Time) (*backend.InFlightRequest, error) {
+	if err := b.gateway.ends.admit(now, b.call); err != nil {
+		return nil, err
+	}
+	retry := b.call.attempts > 0
+	budget := b.gateway.budget(b.call.service.Name)
+	if retry && !budget.CanTake(now, false) {
+		return nil, nil
+	}
+	inFlight, ok := b.gateway.Fleet.Pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
+	if !ok && b.gateway.Fleet.Limited(b.call.service.Name) {
+		return nil, newLimitReachedError(b.call.service.Name)
+	}
+	if !ok {
+		return nil, nil
+	}
+	if retry && !budget.Take(now, false) {
+		inFlight.Done(now, backend.Inconclusive)
+		return nil, nil
+	}
+	return inFlight, nil
+}
+
+// releaseNext gives a reservation back that the request no longer needs.
+func (b *bufferedRequest) releaseNext() {
+	if b.next != nil {
+		b.next.Done(time.Now(), backend.Inconclusive)
+		b.gateway.budget(b.call.service.Name).GiveBack()
+	}
+}
+
+// leaveSlowAttempt cancels an attempt that takes too long once another backend server is
+// reserved in its place. It returns a function that ends this, which must be called after the
+// attempt.
+func (b *bufferedRequest) leaveSlowAttempt(ctx context.Context, cancel context.CancelFunc) (stop func()) {
+	timeout, ok := b.attemptTimeout()
+	if !ok {
+		return func() {}
+	}
+	ctx, stopWaiting := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for wait := timeout; b.sleep(ctx, wait); wait = nextServerInterval {
+			// Without another backend server the attempt goes on: its server may only be slow.
+			if b.next, _ = b.reserve(time.Now()); b.next != nil {
+				cancel()
+				return
+			}
+		}
+	}()
+	return func() {
+		stopWaiting()
+		<-done
+	}
+}
+
+// sleep waits. It returns false if ctx ends before.
+func (b *bufferedRequest) sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // record keeps the best outcome: a response before unknown before notRun, and a response
 // with a status below 500 before others. Once an attempt may have run, the rejection of a
 // later one must not replace it by notRun.
@@ -177,7 +258,7 @@
 	c := b.call
 	c.attempts++
 	clientCtx := ctx
-	ctx, cancel := context.WithTimeout(ctx, b.attemptTimeout(time.Now()))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := c.request
 	request.Header = c.request.Header.Clone()
@@ -185,7 +266,9 @@
 	request.Header.Set(platform.HeaderExpectBackend, string(inFlight.Backend.ID))
 	started := time.Now()
 	watched := b.gateway.ends.begin(c, inFlight.Servers(), false, nil)
+	stop := b.leaveSlowAttempt(ctx, cancel)
 	result := b.roundTrip(ctx, inFlight, request)
+	stop()
 	b.gateway.logAttempt(c, inFlight.Backend, result, time.Since(started))
 	b.finishWatched(ctx, watched, result)
 	inFlight.Done(time.Now(), backendResult(clientCtx, result))
@@ -207,15 +290,12 @@
 	}
 }
 
-// attemptTimeout returns how long an attempt may take. If an idempotent request has
-// attempts left, an unresponsive backend server is abandoned before the deadline.
-func (b *bufferedRequest) attemptTimeout(now time.Time) time.Duration {
+// attemptTimeout returns after what time an attempt is left for another backend server. It
+// returns false if it must not be: the request is not idempotent or has no attempt left.
+func (b *bufferedRequest) attemptTimeout() (time.Duration, bool) {
 	route := b.call.decision.Route
-	remaining := b.call.remaining(now)
-	if route.Kind == deployment.Idempotent && b.ran+1 < route.MaxAttempts && route.TargetLatency > 0 {
-		return min(remaining, attemptTimeoutTargets*route.TargetLatency)
-	}
-	return remaining
+	mayLeave := route.Kind == deployment.Idempotent && b.ran+1 < route.MaxAttempts && b.call.attempts < maxBufferedAttempts
+	return attemptTimeoutTargets * route.TargetLatency, mayLeave && route.TargetLatency > 0
 }
 
 // backendResult returns the result that an outcome implies for the backend server's
--- a/internal/retrybudget/window.go
+++ b/internal/retrybudget/window.go
@@ -108,6 +108,16 @@
 	return true
 }
 
+// GiveBack returns a retry that was taken and not sent. The oldest one is removed, so that no
+// retry that was sent counts for less than a window.
+func (w *WindowBudget) GiveBack() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.retries) > 0 {
+		w.retries = w.retries[1:]
+	}
+}
+
 func (w *WindowBudget) available(now time.Time, urgent bool) bool {
 	share := 1.0
 	if !urgent {
