Router: connections to backend servers can be dialed by an option

Change: platform.DialFunc; NewTransport and NewBackendClient take one and bound its time as before; router.Options.WrapDial wraps it. Conclusion: no change in production: the same dialer with the same timeouts.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -94,18 +94,18 @@
 
 // Transport sends requests to backend servers. It is safe for concurrent use.
 type Transport struct {
-	dialer *net.Dialer
+	dial platform.DialFunc
 }
 
-// NewTransport returns a Transport. It opens each connection with a short timeout.
-func NewTransport() *Transport {
-	return &Transport{dialer: platform.Dialer(connectTimeout)}
+// NewTransport returns a Transport. It opens each connection with dial and a short timeout.
+func NewTransport(dial platform.DialFunc) *Transport {
+	return &Transport{dial: dial.Within(connectTimeout)}
 }
 
 // Send sends a request and reads the header of the response. When ctx is done, the
 // connection is closed. Errors are a *NotSentError or an *IncompleteResponseError.
 func (t *Transport) Send(ctx context.Context, to deployment.Address, request Request) (*Response, error) {
-	connection, err := t.dialer.DialContext(ctx, "tcp4", string(to))
+	connection, err := t.dial(ctx, "tcp4", string(to))
 	if err != nil {
 		return nil, &NotSentError{Address: to, Cause: err}
 	}
@@ -123,7 +123,7 @@
 // Refused reports whether the machine of a backend server refuses connections to it, which
 // means that the server's process has ended. Without any response it reports false.
 func (t *Transport) Refused(ctx context.Context, address deployment.Address) bool {
-	connection, err := t.dialer.DialContext(ctx, "tcp4", string(address))
+	connection, err := t.dial(ctx, "tcp4", string(address))
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/backend/transport_test.go
+++ b/internal/backend/transport_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/platform"
 )
 
 // serveRaw starts a server that answers each connection with bytes from a function until that
@@ -71,7 +72,7 @@
 			_, err := io.WriteString(w, part)
 			return err
 		})
-		_, err := NewTransport().Send(context.Background(), address, getRequest())
+		_, err := NewTransport(platform.Dialer(0).DialContext).Send(context.Background(), address, getRequest())
 		var incomplete *IncompleteResponseError
 		assert.Assert(t, errors.As(err, &incomplete), "%s: %v", name, err)
 		assert.Assert(t, errors.Is(err, errHeadTooLarge), "%s: %v", name, err)
@@ -86,7 +87,7 @@
 		_, err := io.WriteString(w, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("b", size))
 		return errors.Join(err, io.EOF)
 	})
-	response, err := NewTransport().Send(context.Background(), address, getRequest())
+	response, err := NewTransport(platform.Dialer(0).DialContext).Send(context.Background(), address, getRequest())
 	assert.NilError(t, err)
 	defer response.Close()
 	body, err := io.ReadAll(response.Body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	RoutingTable  *routing.ActiveTable
 	Fleet         *backend.Fleet
 	BackendClient *platform.BackendClient
+	Dial          platform.DialFunc // opens connections to backend servers
 	Metrics       *Metrics
 	Logger        *zap.Logger
 	// OnPoisonEvidence is called with what is new about ends of backend servers.
@@ -76,7 +77,7 @@
 
 // New returns a Gateway. MonitorStreams must run beside it to detect stalled streams.
 func New(config Config) *Gateway {
-	transport := backend.NewTransport()
+	transport := backend.NewTransport(config.Dial)
 	ends := newEndWatch(&config, transport)
 	return &Gateway{
 		Config:      config,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -61,6 +61,18 @@
 	SettingsPath string
 	MetricsPort  int
 	Output       io.Writer
+	// WrapDial wraps the opening of connections to backend servers, for tests and for hosts
+	// with several networks. With nil they are opened directly.
+	WrapDial func(dial platform.DialFunc) platform.DialFunc
+}
+
+// dialBackend returns what opens connections to backend servers. Its users bound the time.
+func (o *Options) dialBackend() platform.DialFunc {
+	dial := platform.DialFunc(platform.Dialer(0).DialContext)
+	if o.WrapDial == nil {
+		return dial
+	}
+	return o.WrapDial(dial)
 }
 
 // Router is one running instance with its connections to the store, the backend
@@ -117,12 +129,13 @@
 		registry: prometheus.NewRegistry(),
 		fleet:    backend.NewFleet(settings.Zone), idle: newIdleConnections(),
 	}
-	r.backendClient = platform.NewBackendClient(func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
+	dial := options.dialBackend()
+	r.backendClient = platform.NewBackendClient(dial, func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	metrics := newMetrics(r.registry, sink, r.fleet)
 	r.store = platform.NewStoreClient(settings.StoreAddress, metrics.storeCall)
 	r.gateway = gateway.New(gateway.Config{
-		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient,
+		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient, Dial: dial,
 		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnPoisonEvidence: r.broadcastPoisonEvidence, OnSlowdownMeasured: r.broadcastSlowdown,
 		OnObservation: r.broadcastObservation,
 	})
