--- a/internal/gateway/leaveslow_test.go
+++ b/internal/gateway/leaveslow_test.go
@@ -43,7 +43,9 @@
 		fleet.Put(deployment.Backend{ID: id, Service: "svc", Address: slowServer(t, delay), Zone: "a", Slots: 4})
 	}
 	settings := deployment.Settings{RetryRatio: 1, RetryReserve: 1000, RetryWindow: time.Second}
-	g := New(Config{Settings: settings, Fleet: fleet, Logger: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry())})
+	g := New(Config{
+		Settings: settings, Fleet: fleet, Dial: platform.Dialer(0, platform.BackendSilence).DialContext, Logger: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
 	g.started = now.Add(-time.Hour)
 	route := &deployment.Route{Kind: deployment.Idempotent, MaxAttempts: 2, TargetLatency: 20 * time.Millisecond}
 	c := &call{id: "r", started: now, deadline: now.Add(time.Minute), service: &deployment.Service{Name: "svc"}}
