--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -74,6 +74,19 @@
 	return true
 }
 
+// RecordResponsive ends the suspicion of the stages of a path on which a stalled stream has
+// gone on, which shows that they all respond.
+func (f *Fleet) RecordResponsive(path pipeline.Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range path.IDs {
+		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
+			s.suspectSince = time.Time{}
+			s.avoidUntil = time.Time{}
+		}
+	}
+}
+
 // RecordFirstEvent records how long a request waited for its first event at the first
 // stage of its path, or has waited so far.
 func (f *Fleet) RecordFirstEvent(now time.Time, id deployment.BackendID, waited time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -79,7 +80,7 @@
 func New(config Config) *Gateway {
 	transport := backend.NewTransport(config.Dial)
 	ends := newEndWatch(&config, transport)
-	return &Gateway{
+	g := &Gateway{
 		Config:      config,
 		transport:   transport,
 		monitor:     newStreamMonitor(config, ends),
@@ -90,6 +91,10 @@
 		peerRetries: map[deployment.InstanceID]peerRetries{},
 		started:     time.Now(),
 	}
+	g.monitor.acquire = func(ctx context.Context, request *pathRequest) (reservation, error) {
+		return g.queue(request.call.service.Name).acquire(ctx, request.admissionRequest(), request)
+	}
+	return g
 }
 
 // initialInstanceCount is the maximum expected number of instances. It is assumed for
--- /dev/null
+++ b/internal/gateway/pathrequest.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/admission"
+	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/invariant"
+	"mulberryhead.org/mulberryhead/internal/pipeline"
+)
+
+// pathRequest asks the queue for a path for the next attempt of a stream. It is a snapshot of
+// the stream, so that a path can be sought while an attempt is in flight.
+type pathRequest struct {
+	gateway *Gateway
+	call    *call
+	// ran are the first stages that ran the request or may have run it.
+	ran map[deployment.BackendID]bool
+	// resumed is set if the client has a part of the response.
+	resumed bool
+	// lastEventAt is when the last event, or before the first one the request, arrived.
+	lastEventAt time.Time
+}
+
+// deadline is the time until which the next attempt must start.
+func (p *pathRequest) deadline() time.Time {
+	return p.lastEventAt.Add(eventTimeout(p.call.decision.Route))
+}
+
+// admissionRequest describes the stream to the admission queue.
+func (p *pathRequest) admissionRequest() *admission.Request {
+	return &admission.Request{
+		Resumed: p.resumed, Priority: p.call.decision.Priority, Arrived: p.call.started,
+		TargetLatency: p.call.decision.Route.TargetLatency, Deadline: p.deadline(),
+	}
+}
+
+// ready implements reserver: the error is a *heldBackError if the stream is held back. The
+// first attempt needs no retry budget, later ones do.
+func (p *pathRequest) ready(now time.Time) error {
+	if err := p.gateway.ends.admit(now, p.call); err != nil {
+		return err
+	}
+	if p.call.attempts == 0 || p.gateway.budget(p.call.service.Name).CanTake(now, p.resumed) {
+		return nil
+	}
+	return errBudgetSpent
+}
+
+// reserve implements reserver: it chooses a path and counts the stream on its stages.
+func (p *pathRequest) reserve(now time.Time) (reservation, error) {
+	path, err := p.findPath(now)
+	if err != nil {
+		return reservation{}, err
+	}
+	retry := p.call.attempts > 0
+	budget := p.gateway.budget(p.call.service.Name)
+	if retry && !budget.Take(now, p.resumed) {
+		return reservation{}, errBudgetSpent
+	}
+	inFlight, ok := p.gateway.Fleet.Begin(now, path)
+	if !ok {
+		return reservation{}, errNoPath
+	}
+	reserved := reservation{path: path, inFlight: inFlight}
+	if retry {
+		reserved.budget = budget
+	}
+	return reserved, nil
+}
+
+// findPath chooses a path. Once the number of first stages that may have run the
+// request reaches the route's MaxAttempts, only these are allowed as first stage.
+func (p *pathRequest) findPath(now time.Time) (pipeline.Path, error) {
+	service := p.call.service
+	stages := p.gateway.Fleet.StagesWithFull(now, service)
+	if p.restricted() {
+		stages = p.allowedStages(stages)
+	}
+	path, ok := pipeline.Find(service.Engine, stages, p.gateway.Settings.Zone)
+	if !ok {
+		return path, &noPathError{missing: pipeline.MissingLayers(service.Engine, stages), stages: len(stages), ran: len(p.ran)}
+	}
+	violation := pipeline.Check(service.Engine, path.Hops)
+	return path, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
+}
+
+// restricted implements reserver: it reports whether the stream must begin at a first stage
+// that may have run it.
+func (p *pathRequest) restricted() bool { return len(p.ran) >= p.call.decision.Route.MaxAttempts }
+
+func (p *pathRequest) allowedStages(stages []pipeline.Stage) []pipeline.Stage {
+	var allowed []pipeline.Stage
+	for _, stage := range stages {
+		if stage.Layers.First > 0 || p.ran[stage.ID] {
+			allowed = append(allowed, stage)
+		}
+	}
+	return allowed
+}
+
+// noPathError reports the layers that no usable stage holds.
+type noPathError struct {
+	missing []deployment.LayerRange
+	stages  int
+	ran     int // first stages that may have run the request
+}
+
+func (e *noPathError) Error() string {
+	return fmt.Sprintf("no path: layers %v are held by none of %d usable stages; %d first stages may have run the request", e.missing, e.stages, e.ran)
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -9,6 +9,7 @@
 	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 )
 
 // dispatchInterval is the interval between checks for capacity while requests wait.
@@ -19,6 +20,8 @@
 	path     pipeline.Path
 	inFlight *backend.InFlightRequest
 	queued   time.Duration // how long the request waited for it
+	// budget is the one from which a retry was taken for it, nil if none was.
+	budget *retrybudget.WindowBudget
 }
 
 // noCapacityError reports a rejection: the wait for capacity reaches the time that the
@@ -130,7 +133,7 @@
 	delete(q.waiters, w.request)
 	select {
 	case result := <-w.reserved:
-		result.inFlight.Done(time.Now(), backend.Inconclusive)
+		result.release(time.Now())
 	default:
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/invariant"
-	"mulberryhead.org/mulberryhead/internal/pipeline"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -49,6 +47,9 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 
+	// mu guards ran, headerWritten and lastEventAt, which only the goroutine of the request
+	// changes, against the search for another path.
+	mu             sync.Mutex
 	ran            map[deployment.BackendID]bool // first stages that ran the request or may have run it
 	lastEventID    int64                         // last event that was written to the client, or that its request named
 	hasLastEventID bool
@@ -60,6 +61,7 @@
 	longestPause     time.Duration // between two events
 	notRunCause      error         // why no attempt has run, nil once one may have
 	brokenBy         breakCause    // of the last attempt
+	next             *reservation  // for which the last attempt was left, nil if none
 }
 
 // streamOutcome is how a stream ended for the client.
@@ -133,8 +135,9 @@
 // run sends attempts until the stream is complete or no retry is allowed.
 func (s *stream) run(ctx context.Context) (streamOutcome, error) {
 	s.notRunCause = errNoPath
+	defer s.releaseNext()
 	for {
-		reserved, err := s.gateway.queue(s.call.service.Name).acquire(ctx, s.admissionRequest(), s)
+		reserved, err := s.reserveNext(ctx)
 		if err != nil {
 			return s.failed(err)
 		}
@@ -148,6 +151,23 @@
 	}
 }
 
+// reserveNext returns the path for which the last attempt was left, or else waits for one.
+func (s *stream) reserveNext(ctx context.Context) (reservation, error) {
+	if next := s.next; next != nil {
+		s.next = nil
+		return *next, nil
+	}
+	request := s.pathRequest()
+	return s.gateway.queue(s.call.service.Name).acquire(ctx, request.admissionRequest(), &request)
+}
+
+// releaseNext gives a path back that the stream no longer needs.
+func (s *stream) releaseNext() {
+	if s.next != nil {
+		s.next.release(time.Now())
+	}
+}
+
 // failed returns the outcome of a stream that is not retried.
 func (s *stream) failed(cause error) (streamOutcome, error) {
 	switch {
@@ -177,80 +197,11 @@
 	return time.Duration(eventTimeoutFraction * float64(timeout))
 }
 
-// admissionRequest describes the stream to the admission queue.
-func (s *stream) admissionRequest() *admission.Request {
-	return &admission.Request{
-		Resumed: s.headerWritten, Priority: s.call.decision.Priority, Arrived: s.call.started,
-		TargetLatency: s.call.decision.Route.TargetLatency, Deadline: s.lastEventAt.Add(eventTimeout(s.call.decision.Route)),
-	}
-}
-
-// ready returns an error if the stream must not be sent now: a *heldBackError if it is held
-// back. The first attempt needs no retry budget, later ones do.
-func (s *stream) ready(now time.Time) error {
-	if err := s.gateway.ends.admit(now, s.call); err != nil {
-		return err
-	}
-	if s.call.attempts == 0 || s.gateway.budget(s.call.service.Name).CanTake(now, s.headerWritten) {
-		return nil
-	}
-	return errBudgetSpent
-}
-
-// reserve chooses a path and counts the stream on its stages.
-func (s *stream) reserve(now time.Time) (reservation, error) {
-	path, err := s.findPath(now)
-	if err != nil {
-		return reservation{}, err
-	}
-	if s.call.attempts > 0 && !s.gateway.budget(s.call.service.Name).Take(now, s.headerWritten) {
-		return reservation{}, errBudgetSpent
-	}
-	inFlight, ok := s.gateway.Fleet.Begin(now, path)
-	if !ok {
-		return reservation{}, errNoPath
-	}
-	return reservation{path: path, inFlight: inFlight}, nil
-}
-
-// findPath chooses a path. Once the number of first stages that may have run the
-// request reaches the route's MaxAttempts, only these are allowed as first stage.
-func (s *stream) findPath(now time.Time) (pipeline.Path, error) {
-	service := s.call.service
-	stages := s.gateway.Fleet.StagesWithFull(now, service)
-	if s.restricted() {
-		stages = s.allowedStages(stages)
-	}
-	path, ok := pipeline.Find(service.Engine, stages, s.gateway.Settings.Zone)
-	if !ok {
-		return path, &noPathError{missing: pipeline.MissingLayers(service.Engine, stages), stages: len(stages), ran: len(s.ran)}
-	}
-	violation := pipeline.Check(service.Engine, path.Hops)
-	return path, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
-}
-
-// restricted reports whether the stream must begin at a first stage that may have run it.
-func (s *stream) restricted() bool { return len(s.ran) >= s.call.decision.Route.MaxAttempts }
-
-// noPathError reports the layers that no usable stage holds.
-type noPathError struct {
-	missing []deployment.LayerRange
-	stages  int
-	ran     int // first stages that may have run the request
-}
-
-func (e *noPathError) Error() string {
-	return fmt.Sprintf("no path: layers %v are held by none of %d usable stages; %d first stages may have run the request", e.missing, e.stages, e.ran)
-}
-
-func (s *stream) allowedStages(stages []pipeline.Stage) []pipeline.Stage {
-	var allowed []pipeline.Stage
-	for _, stage := range stages {
-		if stage.Layers.First > 0 || s.ran[stage.ID] {
-			allowed = append(allowed, stage)
-		}
-	}
-	return allowed
+// pathRequest returns what to ask for as the next path of the stream.
+func (s *stream) pathRequest() pathRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return pathRequest{gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, lastEventAt: s.lastEventAt}
 }
 
 // timingFields returns the log fields on the stream's delays.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -29,6 +29,9 @@
 	defer cancel()
 	monitored := s.gateway.monitor.add(s.call, reserved, s.hasBegun(), cancel)
 	defer s.gateway.monitor.remove(monitored)
+	if s.call.decision.Route.Resumable {
+		monitored.setSource(&streamInFlight{stream: s, first: path.IDs[0]})
+	}
 	response, err := s.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, s.backendRequest(path, started))
 	outcome := streamComplete
 	if err == nil {
@@ -44,6 +47,7 @@
 	s.brokenBy = breakCauseOf(err, left)
 	now := time.Now()
 	monitored.end(now)
+	s.next = monitored.takeSuccessor()
 	s.gateway.ends.finish(now, monitored.watched(), err != nil)
 	suspected := s.suspectedOf(now, monitored, err)
 	s.logAttempt(reserved, started, monitored.hasEvents.Load(), err)
@@ -51,6 +55,19 @@
 	return outcome, err
 }
 
+// streamInFlight is a resumable stream during an attempt.
+type streamInFlight struct {
+	stream *stream
+	first  deployment.BackendID // first stage of the attempt, which may run the request
+}
+
+// nextPath implements resender.
+func (f *streamInFlight) nextPath() (pathRequest, bool) {
+	request := f.stream.pathRequest()
+	request.ran[f.first] = true
+	return request, request.call.attempts < maxStreamAttempts
+}
+
 // hasBegun reports whether the answer to the request has begun.
 func (s *stream) hasBegun() bool { return s.hasLastEventID || s.timeToFirstEvent > 0 }
 
@@ -116,6 +133,8 @@
 
 func (s *stream) recordRan(path pipeline.Path) {
 	s.notRunCause = nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.ran[path.IDs[0]] = true
 }
 
@@ -200,6 +219,9 @@
 			return err
 		}
 		s.recordEvent(time.Now())
+		if monitored.sinceLastEvent(s.lastEventAt) >= stallThreshold {
+			s.gateway.Fleet.RecordResponsive(monitored.path())
+		}
 		watched := monitored.watched()
 		watched.recordEvent(s.lastEventAt)
 		if monitored.recordEvent(s.lastEventAt) {
@@ -214,6 +236,8 @@
 
 // recordEvent updates the stream's timing for an event that arrives now.
 func (s *stream) recordEvent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.timeToFirstEvent == 0 {
 		s.timeToFirstEvent = now.Sub(s.call.started)
 	} else {
@@ -229,7 +253,9 @@
 	if s.headerWritten {
 		return
 	}
+	s.mu.Lock()
 	s.headerWritten = true
+	s.mu.Unlock()
 	copyResponseHeader(s.writer.Header(), response.Header)
 	s.writer.WriteHeader(response.StatusCode)
 	s.gateway.Metrics.observeFirstEvent(s.call, time.Now())
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -38,12 +38,16 @@
 	hasEvents   atomic.Bool  // at least one event has arrived
 	events      atomic.Int64 // since the last slowdown measurement
 	interrupted atomic.Bool
-	rerouting   atomic.Bool // a reroute is in progress
+	rerouting   atomic.Bool  // a reroute, or the search for another path, is in progress
+	seekAgain   atomic.Int64 // not to be rerouted before, Unix nanoseconds
 
-	mu      sync.Mutex
-	current reservation
-	watch   *watchedAttempt // on the current path
-	ended   bool
+	mu        sync.Mutex
+	current   reservation
+	watch     *watchedAttempt // on the current path
+	ended     bool
+	source    resender           // nil if the stream must not be sent again
+	stopSeek  context.CancelFunc // nil while no other path is sought
+	successor *reservation       // for which the stream has left its path
 }
 
 func (s *monitoredStream) watched() *watchedAttempt {
@@ -84,6 +88,7 @@
 	s.current.inFlight.Done(now, backend.Inconclusive)
 	s.current = to
 	s.lastEvent.Store(now.UnixNano())
+	s.cancelSeek()
 }
 
 // end releases the stream's current reservation.
@@ -92,12 +97,16 @@
 	defer s.mu.Unlock()
 	s.ended = true
 	s.current.inFlight.Done(now, backend.Inconclusive)
+	s.cancelSeek()
 }
 
 // recordEvent records an event and reports whether it is the first one.
 func (s *monitoredStream) recordEvent(now time.Time) bool {
 	s.lastEvent.Store(now.UnixNano())
 	s.events.Add(1)
+	if s.rerouting.Load() {
+		s.endSeek()
+	}
 	return s.hasEvents.CompareAndSwap(false, true)
 }
 
@@ -108,10 +117,12 @@
 // streamMonitor detects streams that wait for a failed stage. It fetches the report of the
 // first stage of streams without recent events, which names the stages that its requests
 // wait for, and marks these as suspected. Streams on suspected stages are rerouted, or
-// interrupted so that they are retried on another path.
+// sent again along another path once one is reserved.
 type streamMonitor struct {
 	config Config
 	ends   *endWatch
+	// acquire waits for a path in the queue of the stream's service.
+	acquire func(ctx context.Context, request *pathRequest) (reservation, error)
 
 	mu         sync.Mutex
 	streams    map[*monitoredStream]bool
@@ -177,7 +188,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for stream := range m.streams {
-		if stream.sinceLastEvent(now) < stallThreshold || stream.interrupted.Load() || stream.rerouting.Load() {
+		if stream.sinceLastEvent(now) < stallThreshold || stream.interrupted.Load() || stream.rerouting.Load() || now.UnixNano() < stream.seekAgain.Load() {
 			continue
 		}
 		path := stream.path()
@@ -199,13 +210,15 @@
 }
 
 // reroute lets a stream continue on a path without its failed stage. The other stages
-// keep their state of the request. If that fails, the stream is interrupted, and run
-// retries it if that is allowed.
+// keep their state of the request. If that fails, the stream is sent again along another
+// path once one is reserved, if that is allowed. Otherwise it stays on its path.
 func (m *streamMonitor) reroute(ctx context.Context, stream *monitoredStream) {
 	defer stream.rerouting.Store(false)
+	defer func() { stream.seekAgain.Store(time.Now().Add(seekInterval).UnixNano()) }()
 	for range maxReroutes {
 		if !m.mayReroute(ctx, stream) {
-			break
+			stream.abandon()
+			return
 		}
 		to, ok := m.findReroute(time.Now(), stream)
 		if !ok {
@@ -225,8 +238,7 @@
 		}
 		m.config.markFull(time.Now(), at)
 	}
-	stream.interrupted.Store(true)
-	stream.interrupt()
+	m.seekSuccessor(ctx, stream)
 }
 
 // mayReroute finds out whether the stages that a stream waits for have ended, and reports
--- /dev/null
+++ b/internal/gateway/successor.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/backend"
+)
+
+// seekInterval is the minimum interval between searches for another path for a stream.
+const seekInterval = 500 * time.Millisecond
+
+// resender is a stream that may be sent again along another path.
+type resender interface {
+	// nextPath returns what to ask for, and false if the stream must not be sent again.
+	nextPath() (pathRequest, bool)
+}
+
+// seekSuccessor waits for another path for a stream that waits for a failed stage. The stream
+// leaves its path only once another one is reserved: the stage may only be silent for a
+// while. The search ends when the stream goes on or ends.
+func (m *streamMonitor) seekSuccessor(ctx context.Context, stream *monitoredStream) {
+	request, ok := stream.nextPath()
+	if !ok || !time.Now().Before(request.deadline()) {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	since, ok := stream.beginSeek(cancel)
+	if !ok {
+		return
+	}
+	next, err := m.acquire(ctx, &request)
+	if err != nil {
+		m.config.Logger.Debug("no other path", zap.String("request", stream.call.id), zap.Error(err))
+		return
+	}
+	if !stream.leaveFor(next, since) {
+		next.release(time.Now())
+	}
+}
+
+// beginSeek records that another path is sought. cancel is called when the stream goes on or
+// ends. It returns the time of the stream's last event, and false if the stream has ended.
+func (s *monitoredStream) beginSeek(cancel context.CancelFunc) (since int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return 0, false
+	}
+	s.stopSeek = cancel
+	return s.lastEvent.Load(), true
+}
+
+// endSeek ends the search for another path, if one is under way.
+func (s *monitoredStream) endSeek() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelSeek()
+}
+
+// cancelSeek is called with mu held.
+func (s *monitoredStream) cancelSeek() {
+	if s.stopSeek != nil {
+		s.stopSeek()
+		s.stopSeek = nil
+	}
+}
+
+// leaveFor makes the stream leave its path for another one. It returns false if the stream has
+// ended or has got an event since the search began, which leaves the reservation to the caller.
+func (s *monitoredStream) leaveFor(next reservation, since int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.lastEvent.Load() != since {
+		return false
+	}
+	s.successor = &next
+	s.interrupted.Store(true)
+	s.interrupt()
+	return true
+}
+
+// abandon makes the stream leave its path without another one.
+func (s *monitoredStream) abandon() {
+	s.interrupted.Store(true)
+	s.interrupt()
+}
+
+// takeSuccessor returns the path for which the stream has left its own, nil if there is none.
+func (s *monitoredStream) takeSuccessor() *reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.successor
+	s.successor = nil
+	return next
+}
+
+// nextPath returns what to ask for to send the stream along another path, and false if it must
+// not be sent again.
+func (s *monitoredStream) nextPath() (pathRequest, bool) {
+	s.mu.Lock()
+	source := s.source
+	s.mu.Unlock()
+	if source == nil {
+		return pathRequest{}, false
+	}
+	return source.nextPath()
+}
+
+// setSource sets the stream that may be sent along another path.
+func (s *monitoredStream) setSource(source resender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.source = source
+}
+
+// release gives a reservation back that is not used.
+func (r *reservation) release(now time.Time) {
+	r.inFlight.Done(now, backend.Inconclusive)
+	if r.budget != nil {
+		r.budget.GiveBack()
+	}
+}
