--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 FUZZTIME ?= 20s
 fuzz:
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/peer
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/relay
 	$(GO) test -run '^$$' -fuzz FuzzDecodeFrame -fuzztime $(FUZZTIME) ./internal/runner
 	$(GO) test -run '^$$' -fuzz FuzzKeyTable -fuzztime $(FUZZTIME) ./internal/logservice/claim
 	$(GO) test -run '^$$' -fuzz FuzzState -fuzztime $(FUZZTIME) ./internal/logservice/document
