router: entries of instances carry the key for relayed requests

An instance writes its key into its entry of the store's list, and knows the peers that take relayed requests from theirs. Router.relayKey is zero until a handler is served, so that no key is written yet.

internal/router and internal/relay passed with -race.

--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -15,6 +15,7 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/peer"
+	"mulberryhead.org/mulberryhead/internal/relay"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -52,6 +53,8 @@
 	Address string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint"`
 	Millis  int64  `cbor:"3,keyasint"` // Unix time of the write, in milliseconds
+	// RelayKey is absent if the instance takes no relayed requests.
+	RelayKey []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // newMesh returns the mesh of links to the other instances.
@@ -98,7 +101,7 @@
 }
 
 func (r *Router) register(ctx context.Context, now time.Time) error {
-	value, err := cbor.Marshal(wireInstance{Address: string(r.settings.PeerAddress), Zone: string(r.settings.Zone), Millis: now.UnixMilli()})
+	value, err := encodeInstance(r.settings, r.relayKey, now)
 	if err != nil {
 		return err
 	}
@@ -107,6 +110,14 @@
 	return err
 }
 
+// encodeInstance returns an instance's entry of instancesTopic. With the zero key, no peer
+// relays requests to it.
+func encodeInstance(settings deployment.Settings, key relay.Key, now time.Time) ([]byte, error) {
+	return cbor.Marshal(wireInstance{
+		Address: string(settings.PeerAddress), Zone: string(settings.Zone), Millis: now.UnixMilli(), RelayKey: key.Bytes(),
+	})
+}
+
 // followInstances reads instancesTopic at intervals, until ctx ends.
 func (r *Router) followInstances(ctx context.Context) {
 	started := time.Now()
@@ -114,7 +125,9 @@
 		batch, err := r.store.LatestByKey(ctx, instancesTopic)
 		now := time.Now()
 		if err == nil {
-			list := r.decodeInstances(now, batch.Records)
+			entries := r.decodeInstances(now, batch.Records)
+			list := instancesOf(entries)
+			r.relayPeers.SetPeers(relayPeersOf(entries))
 			r.mesh.SetInstances(now, list)
 			r.fleet.SetInstanceCounts(1+len(list), 1+r.countInZone(list))
 			r.gateway.SetInstanceCount(1 + len(list))
@@ -129,10 +142,17 @@
 	}
 }
 
-// decodeInstances returns the other instances in records of instancesTopic. Invalid
-// entries and those older than maxEntryAge are left out.
-func (r *Router) decodeInstances(now time.Time, records []platform.Record) []instancelist.Instance {
-	var list []instancelist.Instance
+// instanceEntry is a decoded entry of instancesTopic. Its fields are exported, since package
+// fmt prints the bytes of a key in a field that is not.
+type instanceEntry struct {
+	Instance instancelist.Instance
+	RelayKey relay.Key // zero if the instance takes no relayed requests
+}
+
+// decodeInstances returns the entries of the other instances in records of instancesTopic.
+// Invalid entries and those older than maxEntryAge are left out.
+func (r *Router) decodeInstances(now time.Time, records []platform.Record) []instanceEntry {
+	var entries []instanceEntry
 	for _, record := range records {
 		var wire wireInstance
 		if err := cbor.Unmarshal(record.Value, &wire); err != nil {
@@ -143,14 +163,46 @@
 		if record.Key == string(r.settings.Instance) || age > maxEntryAge {
 			continue
 		}
-		list = append(list, instancelist.Instance{
-			ID: instancelist.ID(record.Key), Kind: instancelist.KindEntry,
-			Zone: instancelist.Zone(wire.Zone), Address: wire.Address,
-		})
+		entries = append(entries, wire.entry(instancelist.ID(record.Key)))
+	}
+	return entries
+}
+
+// entry decodes an entry. A relay key of another length counts as absent.
+func (w *wireInstance) entry(id instancelist.ID) instanceEntry {
+	key, _ := relay.KeyFromBytes(w.RelayKey)
+	return instanceEntry{
+		Instance: instancelist.Instance{
+			ID: id, Kind: instancelist.KindEntry, Zone: instancelist.Zone(w.Zone), Address: w.Address,
+		},
+		RelayKey: key,
+	}
+}
+
+// instancesOf returns the instances of entries, without their keys.
+func instancesOf(entries []instanceEntry) []instancelist.Instance {
+	list := make([]instancelist.Instance, 0, len(entries))
+	for _, entry := range entries {
+		list = append(list, entry.Instance)
 	}
 	return list
 }
 
+// relayPeersOf returns the instances of entries that take relayed requests.
+func relayPeersOf(entries []instanceEntry) []relay.Peer {
+	var peers []relay.Peer
+	for _, entry := range entries {
+		if entry.RelayKey.IsZero() {
+			continue
+		}
+		peers = append(peers, relay.Peer{
+			ID: deployment.InstanceID(entry.Instance.ID), Zone: deployment.Zone(entry.Instance.Zone),
+			Address: deployment.Address(entry.Instance.Address), Key: entry.RelayKey,
+		})
+	}
+	return peers
+}
+
 // countInZone returns how many instances of a list are in this zone.
 func (r *Router) countInZone(list []instancelist.Instance) int {
 	count := 0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,7 @@
 	"mulberryhead.org/mulberryhead/internal/logging"
 	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/placementcontroller"
+	"mulberryhead.org/mulberryhead/internal/relay"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
 )
@@ -81,6 +82,8 @@
 	idle          *idleConnections
 	mesh          *peer.Mesh
 	zoneRelays    zoneRelays
+	relayKey      relay.Key // zero while this instance takes no relayed requests
+	relayPeers    *relay.SharedDirectory
 	shuttingDown  atomic.Bool
 	shutdownGrace atomic.Int64 // time.Duration
 
@@ -116,6 +119,7 @@
 		logger:   logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
 		registry: prometheus.NewRegistry(),
 		fleet:    backend.NewFleet(settings.Zone), idle: newIdleConnections(),
+		relayPeers: relay.NewSharedDirectory(settings.Instance),
 	}
 	r.backendClient = platform.NewBackendClient(func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
