--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,6 +37,7 @@
 	"mulberryhead.org/mulberryhead/internal/logging"
 	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/placementcontroller"
+	"mulberryhead.org/mulberryhead/internal/relay"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
 )
@@ -97,6 +98,8 @@
 	clients       *clientConnections
 	mesh          *peer.Mesh
 	zoneRelays    zoneRelays
+	relayKey      relay.Key // zero while this instance takes no relayed requests
+	relayPeers    *relay.SharedDirectory
 	shuttingDown  atomic.Bool
 	shutdownGrace atomic.Int64 // time.Duration
 
@@ -131,7 +134,7 @@
 		settings: settings, options: options, sink: sink,
 		logger:   logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
 		registry: prometheus.NewRegistry(),
-		fleet:    backend.NewFleet(settings.Zone),
+		fleet:    backend.NewFleet(settings.Zone), relayPeers: relay.NewSharedDirectory(settings.Instance),
 	}
 	r.clients = newClientConnections(r.logger)
 	dial := options.dialBackend()
