--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -21,6 +21,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/platform"
 	"mulberryhead.org/mulberryhead/internal/testarchive"
 )
 
