--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -21,8 +21,8 @@
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/platform"
 	"mulberryhead.org/mulberryhead/internal/testarchive"
+	"mulberryhead.org/mulberryhead/platform"
 )
 
 // waitLimit bounds the wait for what must happen at once.
