--- a/internal/router/clientconnection.go
+++ b/internal/router/clientconnection.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -70,6 +71,16 @@
 	return c.close()
 }
 
+// CloseWrite ends the data to the client, so that it can read the last response to its end.
+// net/http calls it.
+func (c *clientConnection) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 func (c *clientConnection) close() error {
 	c.closed = true
 	return c.Conn.Close()
@@ -95,9 +106,9 @@
 	c.begunAt = time.Time{}
 }
 
-// busy reports whether a request is being read or in flight.
+// busy reports whether a request is in flight.
 func (c *clientConnection) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closed && (!c.between || !c.begunAt.IsZero())
+	return !c.closed && !c.between
 }
--- a/internal/router/clientconnection_test.go
+++ b/internal/router/clientconnection_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,8 +149,8 @@
 	assert.NilError(t, err)
 	assert.NilError(t, <-sent)
 	assert.NilError(t, connection.Close())
-	assert.Assert(t, connection.busy())
 	connection.setBetween(false)
+	assert.Assert(t, connection.busy())
 	assert.NilError(t, pipe.SetDeadline(time.Time{}))
 	assert.NilError(t, connection.Close())
 	assert.Assert(t, pipe.SetDeadline(time.Time{}) != nil)
@@ -173,3 +174,71 @@
 	clients.close(now.Add(17*time.Second), 2, low)
 	assert.Assert(t, pipe.SetDeadline(time.Time{}) != nil)
 }
+
+// TestLimitLoweredBeforeASweepClosesNoKeptConnection guards against the same for a connection
+// that became idle after the last sweep.
+func TestLimitLoweredBeforeASweepClosesNoKeptConnection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pipe, client := net.Pipe()
+	defer func() { assert.Check(t, client.Close()) }()
+	clients := newClientConnections(zap.NewNop())
+	clients.close(now, 1, deployment.Limits{HeaderTimeout: time.Second, IdleTimeout: 15 * time.Second})
+	clients.recordState(now, newClientConnection(pipe), http.StateIdle)
+	clients.close(now.Add(7*time.Second), 2, deployment.Limits{HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	assert.NilError(t, pipe.SetDeadline(time.Time{}))
+}
+
+// TestRequestIsNotClosedWithoutHeaderLimit guards against a sweep that closes a connection under
+// a request that was read, where the configuration bounds the idle time only.
+func TestRequestIsNotClosedWithoutHeaderLimit(t *testing.T) {
+	pipe, client := net.Pipe()
+	defer func() { assert.Check(t, client.Close()) }()
+	connection := newClientConnection(pipe)
+	clients := newClientConnections(zap.NewNop())
+	clients.recordState(time.Now().Add(-10*time.Second), connection, http.StateIdle)
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(client, "GET /")
+		sent <- err
+	}()
+	_, err := connection.Read(make([]byte, 16))
+	assert.NilError(t, err)
+	assert.NilError(t, <-sent)
+	clients.close(time.Now(), 1, deployment.Limits{IdleTimeout: 5 * time.Second})
+	assert.NilError(t, pipe.SetDeadline(time.Time{}))
+}
+
+// TestStopDoesNotWaitForStrayBytes guards against a stop that waits to its end for a request
+// that will never be handled.
+func TestStopDoesNotWaitForStrayBytes(t *testing.T) {
+	connection := newClientConnection(nil)
+	clients := newClientConnections(zap.NewNop())
+	clients.recordState(time.Now(), connection, http.StateIdle)
+	connection.begunAt = time.Now()
+	assert.Equal(t, clients.busy(), 0)
+}
+
+// TestLastAnswerEndsWithoutReset guards against an answer whose end is a reset, as the rest of a
+// request was not read.
+func TestLastAnswerEndsWithoutReset(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	clients := newClientConnections(zap.NewNop())
+	server := &http.Server{MaxHeaderBytes: 4 << 10, ConnState: clients.onStateChange}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(clientListener{listener}) }()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		// The server may close the connection before it has read all.
+		_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 200<<10))
+	}()
+	_, err = io.ReadAll(client)
+	assert.NilError(t, err)
+	assert.NilError(t, client.Close())
+	<-sent
+	assert.NilError(t, server.Close())
+	assert.ErrorIs(t, <-done, http.ErrServerClosed)
+}
--- a/internal/router/idle.go
+++ b/internal/router/idle.go
@@ -25,9 +25,10 @@
 type clientConnections struct {
 	logger *zap.Logger
 
-	mu   sync.Mutex
-	idle map[*clientConnection]idleState
-	open map[*clientConnection]bool
+	mu     sync.Mutex
+	idle   map[*clientConnection]idleState
+	open   map[*clientConnection]bool
+	limits deployment.Limits // as of the last sweep
 }
 
 // idleState describes a connection that has no request.
@@ -57,7 +58,9 @@
 	delete(c.idle, connection)
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.idle[connection] = idleState{since: now, noRequestYet: state == http.StateNew}
+		idle := idleState{since: now, noRequestYet: state == http.StateNew}
+		idle.limit = idleLimit(idle, c.limits)
+		c.idle[connection] = idle
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, connection)
 	case http.StateActive:
@@ -85,6 +88,8 @@
 func (c *clientConnections) close(now time.Time, version deployment.Version, limits deployment.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.limits = limits
+	begunBefore := now.Add(-headerLimit(limits))
 	for connection, state := range c.idle {
 		limit := idleLimit(state, limits)
 		if limit == 0 {
@@ -93,7 +98,7 @@
 		state.limit = max(state.limit, limit)
 		c.idle[connection] = state
 		idle := now.Sub(state.since)
-		if idle <= state.limit || !connection.closeBetween(now.Add(-limits.HeaderTimeout)) {
+		if idle <= state.limit || !connection.closeBetween(begunBefore) {
 			continue
 		}
 		delete(c.idle, connection)
@@ -102,7 +107,15 @@
 	}
 }
 
-// busy returns the number of connections on which a request is being read or in flight.
+// headerLimit returns how long a client may take to complete a header.
+func headerLimit(limits deployment.Limits) time.Duration {
+	if limits.HeaderTimeout > 0 {
+		return limits.HeaderTimeout
+	}
+	return headerTimeout
+}
+
+// busy returns the number of connections on which a request is in flight.
 func (c *clientConnections) busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,7 +128,8 @@
 	return count
 }
 
-// waitUntilIdle waits until no request is being read or in flight, at most until ctx ends.
+// waitUntilIdle waits until no request is in flight, at most until ctx ends. http.Server.Shutdown
+// does not wait for those that came on a connection which it took for idle.
 func (c *clientConnections) waitUntilIdle(ctx context.Context) error {
 	ticker := time.NewTicker(busyCheckInterval)
 	defer ticker.Stop()
