--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -27,6 +27,9 @@
 	waiting        int // requests of all instances, from its last response
 	avoidUntil     time.Time
 	suspectSince   time.Time                           // zero if it is not suspected
+	suspectUntil   time.Time                           // the suspicion does not end before
+	unconnected    bool                                // suspected as no connection could be opened
+	answeredAt     time.Time                           // when it last answered a probe
 	suspicions     map[deployment.InstanceID]time.Time // of other instances
 	missingSince   time.Time                           // zero while it is listed
 	fullAt         time.Time                           // when the limit was last reduced, zero if it never was
--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -363,3 +363,41 @@
 	assert.Assert(t, !f.ClearSuspect(now, "i-1"), "the rejections still keep it out")
 	assert.Assert(t, f.ClearSuspect(start.Add(maxRejectionBackoff), "i-1"))
 }
+
+// TestStageThatAnsweredIsNotReplaced guards against layers that are loaded elsewhere for a stage
+// that was silent for a second and answers again.
+func TestStageThatAnsweredIsNotReplaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFleet("a")
+	f.Replace(now, []deployment.Backend{{ID: "i-1", Service: "svc", Address: "10.0.0.1:80", Zone: "a"}})
+	f.MarkSuspect(now, "10.0.0.1:80")
+	assert.Equal(t, f.ServerStatuses(now.Add(700*time.Millisecond), "svc", "a")[0].UnavailableFor, 700*time.Millisecond)
+	f.RecordAnswered(now.Add(time.Second), "i-1")
+	assert.Equal(t, f.ServerStatuses(now.Add(1100*time.Millisecond), "svc", "a")[0].UnavailableFor, time.Duration(0))
+}
+
+// TestEventsEndNoOtherBackoff guards against events on earlier connections that let requests go
+// to a stage that rejects them, or to which no connection can be opened.
+func TestEventsEndNoOtherBackoff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	service := &deployment.Service{Name: "svc", Engine: &deployment.Engine{Layers: 80}}
+	path := pipeline.Path{IDs: []deployment.BackendID{"i-1"}}
+	newFleet := func() *Fleet {
+		f := NewFleet("a")
+		f.Replace(now, []deployment.Backend{{ID: "i-1", Service: "svc", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Layers: deployment.LayerRange{End: 80}}})
+		return f
+	}
+	silent := newFleet()
+	silent.MarkSuspect(now, "10.0.0.1:80")
+	silent.RecordResponsive(path)
+	assert.Equal(t, len(silent.Stages(now, service)), 1)
+	replaced := newFleet()
+	replaced.MarkSuspect(now, "10.0.0.1:80")
+	replaced.MarkWrongLayers(now, "10.0.0.1:80")
+	replaced.RecordResponsive(path)
+	assert.Equal(t, len(replaced.Stages(now, service)), 0)
+	unconnected := newFleet()
+	unconnected.MarkUnconnected(now, "10.0.0.1:80")
+	unconnected.RecordResponsive(path)
+	assert.Equal(t, len(unconnected.Stages(now, service)), 0)
+}
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -106,9 +106,7 @@
 			continue
 		}
 		status := ServerStatus{Backend: s.Backend, AtLimit: s.rate.Denied(now)}
-		if !s.suspectSince.IsZero() {
-			status.UnavailableFor = now.Sub(s.suspectSince)
-		}
+		status.UnavailableFor = s.unavailableFor(now)
 		if s.rejections >= rejectingThreshold {
 			status.UnavailableFor = max(status.UnavailableFor, now.Sub(s.rejectingSince))
 		}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -45,10 +45,48 @@
 	if fresh {
 		s.suspectSince = now
 	}
-	s.avoidUntil = later(s.avoidUntil, now.Add(suspectTimeout))
+	s.suspectUntil = later(s.suspectUntil, now.Add(suspectTimeout))
 	return fresh
 }
 
+// MarkUnconnected keeps a stage to which no connection could be opened out of new paths. Events
+// on earlier connections do not end this suspicion. It returns the stage, and whether it was not
+// suspected before.
+func (f *Fleet) MarkUnconnected(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.byAddress(address)
+	if s == nil {
+		return "", false
+	}
+	s.unconnected = true
+	return s.ID, s.markSuspect(now)
+}
+
+// RecordAnswered records that a stage has answered. It stays out of new paths while it is
+// suspected, but its layers need not be loaded elsewhere.
+func (f *Fleet) RecordAnswered(now time.Time, id deployment.BackendID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.servers[id]; ok {
+		s.answeredAt = now
+	}
+}
+
+// unavailableFor returns how long a suspected stage has not answered.
+func (s *server) unavailableFor(now time.Time) time.Duration {
+	if s.suspectSince.IsZero() || s.answeredAt.After(s.suspectSince) {
+		return 0
+	}
+	return now.Sub(s.suspectSince)
+}
+
+func (s *server) clearSuspicion() {
+	s.suspectSince = time.Time{}
+	s.suspectUntil = time.Time{}
+	s.unconnected = false
+}
+
 // MarkWrongLayers keeps a stage that does not hold the expected layers out of new paths
 // until the backend list should show the layers that it holds. The time grows with
 // consecutive rejections.
@@ -67,22 +105,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[id]
-	if !ok || s.suspectSince.IsZero() || now.Before(s.avoidUntil) {
+	if !ok || s.suspectSince.IsZero() || now.Before(s.suspectUntil) || now.Before(s.avoidUntil) {
 		return false
 	}
-	s.suspectSince = time.Time{}
+	s.clearSuspicion()
 	return true
 }
 
 // RecordResponsive ends the suspicion of the stages of a path on which a stalled stream has
-// gone on, which shows that they all respond.
+// gone on, which shows that they all respond. It says nothing of new connections.
 func (f *Fleet) RecordResponsive(path pipeline.Path) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range path.IDs {
-		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
-			s.suspectSince = time.Time{}
-			s.avoidUntil = time.Time{}
+		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() && !s.unconnected {
+			s.clearSuspicion()
 		}
 	}
 }
