--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -12,7 +12,7 @@
 // seconds at a time. A request that can still meet its target latency goes before one
 // that can't, since serving the late one first would make both late. A stream that has
 // lost its path midway goes before all others, because its client already has a part
-// of the response. A request that is predicted to wait beyond its deadline is rejected
+// of the response, and one that may still go on after those that can't. A request that is predicted to wait beyond its deadline is rejected
 // early, unless it is a resumed stream or the admission rate is not known. The rejection
 // has a Retry-After by which the backlog should be gone.
 package admission
@@ -43,6 +43,7 @@
 // Request is a request that waits for capacity.
 type Request struct {
 	Resumed       bool // its client has a part of the response
+	HasPath       bool // it still waits on an earlier path, which may go on
 	Priority      int  // 0 is the most urgent
 	Arrived       time.Time
 	TargetLatency time.Duration // latency within which the response should begin
@@ -59,6 +60,8 @@
 	switch {
 	case a.Resumed != b.Resumed:
 		return a.Resumed
+	case a.HasPath != b.HasPath:
+		return b.HasPath
 	case a.onTime(now) != b.onTime(now):
 		return a.onTime(now)
 	case a.Priority != b.Priority:
--- a/internal/backend/inflight.go
+++ b/internal/backend/inflight.go
@@ -62,6 +62,16 @@
 // Pick chooses a backend server of a plain service and counts the request as in flight
 // there. It skips those in tried, which the request has been sent to before.
 func (f *Fleet) Pick(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*InFlightRequest, bool) {
+	return f.pick(now, service, zone, tried, false)
+}
+
+// PickAvailable does the same as Pick, among the servers that are not ejected, suspected or
+// missing in the list.
+func (f *Fleet) PickAvailable(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*InFlightRequest, bool) {
+	return f.pick(now, service, zone, tried, true)
+}
+
+func (f *Fleet) pick(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool, available bool) (*InFlightRequest, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *server
@@ -71,6 +81,9 @@
 			continue
 		}
 		r := rankOf(now, s, zone)
+		if available && r.unavailable {
+			continue
+		}
 		if best == nil || r.before(bestRank) {
 			best, bestRank = s, r
 		}
@@ -141,6 +154,18 @@
 	}
 }
 
+// Listed reports whether all stages of a path are listed and not draining.
+func (f *Fleet) Listed(path pipeline.Path) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range path.IDs {
+		if s, ok := f.servers[id]; !ok || s.Draining {
+			return false
+		}
+	}
+	return true
+}
+
 // Begin counts a request as in flight on all stages of a path. It returns false if the
 // first stage is no longer listed.
 func (f *Fleet) Begin(now time.Time, path pipeline.Path) (*InFlightRequest, bool) {
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -102,24 +102,51 @@
 	return &Transport{dial: dial.Within(connectTimeout)}
 }
 
-// Send sends a request and reads the header of the response. When ctx is done, the
-// connection is closed. Errors are a *NotSentError or an *IncompleteResponseError.
-func (t *Transport) Send(ctx context.Context, to deployment.Address, request Request) (*Response, error) {
+// Connection is an open connection to a backend server, for one request. It must be used or
+// closed.
+type Connection struct {
+	address    deployment.Address
+	connection net.Conn
+}
+
+// Connect opens a connection to a backend server. The error is a *NotSentError.
+func (t *Transport) Connect(ctx context.Context, to deployment.Address) (*Connection, error) {
 	connection, err := t.dial(ctx, "tcp4", string(to))
 	if err != nil {
 		return nil, &NotSentError{Address: to, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	response, err := exchange(connection, request)
+	return &Connection{address: to, connection: connection}, nil
+}
+
+// Close closes a connection that was not used.
+func (c *Connection) Close() {
+	_ = c.connection.Close() // no data was sent
+}
+
+// Send sends a request and reads the header of the response. When ctx is done, the
+// connection is closed. The error is an *IncompleteResponseError.
+func (c *Connection) Send(ctx context.Context, request Request) (*Response, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.connection.Close() })
+	response, err := exchange(c.connection, request)
 	if err != nil {
 		stop()
-		_ = connection.Close()
-		return nil, &IncompleteResponseError{Address: to, Cause: err}
+		_ = c.connection.Close()
+		return nil, &IncompleteResponseError{Address: c.address, Cause: err}
 	}
 	response.stop = stop
 	return response, nil
 }
 
+// Send opens a connection, sends a request and reads the header of the response. When ctx is
+// done, the connection is closed. Errors are a *NotSentError or an *IncompleteResponseError.
+func (t *Transport) Send(ctx context.Context, to deployment.Address, request Request) (*Response, error) {
+	connection, err := t.Connect(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return connection.Send(ctx, request)
+}
+
 // Refused reports whether the machine of a backend server refuses connections to it, which
 // means that the server's process has ended. Without any response it reports false.
 func (t *Transport) Refused(ctx context.Context, address deployment.Address) bool {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -105,7 +105,13 @@
 	ran     int     // attempts that ran or may have run
 	best    outcome // returned if no better one follows (see record)
 	// next is reserved in place of the server of the last attempt, nil if none is.
-	next *backend.InFlightRequest
+	next *bufferedReservation
+}
+
+// bufferedReservation is a backend server that is reserved for an attempt.
+type bufferedReservation struct {
+	inFlight   *backend.InFlightRequest
+	connection *backend.Connection // nil if none was opened yet
 }
 
 var errNoBackend = errors.New("no backend server is available for the service")
@@ -116,16 +122,16 @@
 	b.best = notRun{cause: errNoBackend}
 	defer b.releaseNext()
 	for range maxBufferedAttempts {
-		inFlight, err := b.takeNext(ctx)
+		reserved, err := b.takeNext(ctx)
 		if err != nil {
 			b.record(notRun{cause: err})
 			return b.best
 		}
-		if inFlight == nil {
+		if reserved == nil {
 			return b.best
 		}
-		b.tried[inFlight.Backend.ID] = true
-		result := b.attempt(ctx, inFlight)
+		b.tried[reserved.inFlight.Backend.ID] = true
+		result := b.attempt(ctx, reserved)
 		b.record(result)
 		if !b.shouldRetry(result) {
 			return b.best
@@ -136,21 +142,27 @@
 
 // takeNext returns the reservation for which the last attempt was left, or else makes one. It
 // returns nil without enough time.
-func (b *bufferedRequest) takeNext(ctx context.Context) (*backend.InFlightRequest, error) {
+func (b *bufferedRequest) takeNext(ctx context.Context) (*bufferedReservation, error) {
+	now := time.Now()
 	if next := b.next; next != nil {
+		if err := b.gateway.ends.admit(now, b.call); err != nil {
+			return nil, err // run gives the reservation back
+		}
 		b.next = nil
 		return next, nil
 	}
-	now := time.Now()
 	if ctx.Err() != nil || b.call.remaining(now) < minAttemptTime {
 		return nil, nil
 	}
-	return b.reserve(now)
+	return b.reserve(now, b.gateway.Fleet.Pick)
 }
 
+// picker chooses a backend server of a plain service, as backend.Fleet.Pick does.
+type picker func(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*backend.InFlightRequest, bool)
+
 // reserve chooses a backend server for the next attempt. It returns nil without one, or without
 // the retry budget. The error is a *heldBackError or a *limitReachedError.
-func (b *bufferedRequest) reserve(now time.Time) (*backend.InFlightRequest, error) {
+func (b *bufferedRequest) reserve(now time.Time, pick picker) (*bufferedReservation, error) {
 	if err := b.gateway.ends.admit(now, b.call); err != nil {
 		return nil, err
 	}
@@ -159,7 +171,7 @@
 	if retry && !budget.CanTake(now, false) {
 		return nil, nil
 	}
-	inFlight, ok := b.gateway.Fleet.Pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
+	inFlight, ok := pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
 	if !ok && b.gateway.Fleet.Limited(b.call.service.Name) {
 		return nil, newLimitReachedError(b.call.service.Name)
 	}
@@ -170,15 +182,46 @@
 		inFlight.Done(now, backend.Inconclusive)
 		return nil, nil
 	}
-	return inFlight, nil
+	return &bufferedReservation{inFlight: inFlight}, nil
+}
+
+// reserveConnected reserves an available backend server in place of one that is slow, and opens
+// a connection to it. It returns nil without one.
+func (b *bufferedRequest) reserveConnected(ctx context.Context) *bufferedReservation {
+	// Without another backend server the attempt goes on: its server may only be slow.
+	reserved, _ := b.reserve(time.Now(), b.gateway.Fleet.PickAvailable)
+	if reserved == nil {
+		return nil
+	}
+	connection, err := b.gateway.transport.Connect(ctx, reserved.inFlight.Backend.Address)
+	if err == nil {
+		reserved.connection = connection
+		return reserved
+	}
+	result := backend.Failed
+	if ctx.Err() != nil {
+		result = backend.Inconclusive
+	}
+	b.tried[reserved.inFlight.Backend.ID] = true
+	b.giveBack(reserved, result)
+	return nil
 }
 
 // releaseNext gives a reservation back that the request no longer needs.
 func (b *bufferedRequest) releaseNext() {
-	if b.next != nil {
-		b.next.Done(time.Now(), backend.Inconclusive)
-		b.gateway.budget(b.call.service.Name).GiveBack()
+	if b.next == nil {
+		return
 	}
+	if b.next.connection != nil {
+		b.next.connection.Close()
+	}
+	b.giveBack(b.next, backend.Inconclusive)
+}
+
+// giveBack gives a reservation for a retry back that was not used.
+func (b *bufferedRequest) giveBack(reserved *bufferedReservation, result backend.Result) {
+	reserved.inFlight.Done(time.Now(), result)
+	b.gateway.budget(b.call.service.Name).GiveBack()
 }
 
 // leaveSlowAttempt cancels an attempt that takes too long once another backend server is
@@ -194,8 +237,7 @@
 	go func() {
 		defer close(done)
 		for wait := timeout; b.sleep(ctx, wait); wait = nextServerInterval {
-			// Without another backend server the attempt goes on: its server may only be slow.
-			if b.next, _ = b.reserve(time.Now()); b.next != nil {
+			if b.next = b.reserveConnected(ctx); b.next != nil {
 				cancel()
 				return
 			}
@@ -254,8 +296,9 @@
 	return idempotent || b.ran == 0
 }
 
-func (b *bufferedRequest) attempt(ctx context.Context, inFlight *backend.InFlightRequest) outcome {
+func (b *bufferedRequest) attempt(ctx context.Context, reserved *bufferedReservation) outcome {
 	c := b.call
+	inFlight := reserved.inFlight
 	c.attempts++
 	clientCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
@@ -267,7 +310,7 @@
 	started := time.Now()
 	watched := b.gateway.ends.begin(c, inFlight.Servers(), false, nil)
 	stop := b.leaveSlowAttempt(ctx, cancel)
-	result := b.roundTrip(ctx, inFlight, request)
+	result := b.roundTrip(ctx, reserved, request)
 	stop()
 	b.gateway.logAttempt(c, inFlight.Backend, result, time.Since(started))
 	b.finishWatched(ctx, watched, result)
@@ -319,8 +362,9 @@
 }
 
 // roundTrip sends one attempt and reads the complete response.
-func (b *bufferedRequest) roundTrip(ctx context.Context, inFlight *backend.InFlightRequest, request backend.Request) outcome {
-	response, err := b.gateway.transport.Send(ctx, inFlight.Backend.Address, request)
+func (b *bufferedRequest) roundTrip(ctx context.Context, reserved *bufferedReservation, request backend.Request) outcome {
+	inFlight := reserved.inFlight
+	response, err := b.send(ctx, reserved, request)
 	if err != nil {
 		var notSent *backend.NotSentError
 		if errors.As(err, &notSent) {
@@ -350,6 +394,14 @@
 	return responded{status: response.StatusCode, header: response.Header, body: body}
 }
 
+// send sends an attempt over the open connection of a reservation, or over a new one.
+func (b *bufferedRequest) send(ctx context.Context, reserved *bufferedReservation, request backend.Request) (*backend.Response, error) {
+	if reserved.connection != nil {
+		return reserved.connection.Send(ctx, request)
+	}
+	return b.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, request)
+}
+
 // notExecuted reports whether a backend server rejected the request without executing it.
 func notExecuted(response *http.Response) bool {
 	return response.Header.Get(platform.HeaderNotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -91,9 +90,7 @@
 		peerRetries: map[deployment.InstanceID]peerRetries{},
 		started:     time.Now(),
 	}
-	g.monitor.acquire = func(ctx context.Context, request *pathRequest) (reservation, error) {
-		return g.queue(request.call.service.Name).acquire(ctx, request.admissionRequest(), request)
-	}
+	g.monitor.acquire = g.acquireConnected
 	return g
 }
 
--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -17,6 +17,16 @@
 	return fresh
 }
 
+// markUnconnected keeps a stage to which no connection could be opened out of new paths, and
+// tells the others of it if that is new. It reports whether it is.
+func (c *Config) markUnconnected(now time.Time, address deployment.Address) bool {
+	id, fresh := c.Fleet.MarkUnconnected(now, address)
+	if fresh {
+		c.OnObservation(id, backend.StageSuspected)
+	}
+	return fresh
+}
+
 // markFull records that a stage lacks capacity, and tells the others of it.
 func (c *Config) markFull(now time.Time, address deployment.Address) {
 	if id, ok := c.Fleet.MarkFull(now, address); ok {
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -18,31 +19,46 @@
 	// ran are the first stages that ran the request or may have run it.
 	ran map[deployment.BackendID]bool
 	// resumed is set if the client has a part of the response.
-	resumed bool
+	resumed  bool
+	attempts int // of the stream so far
+	// needed reports whether a stream in flight still needs another path, nil for one that is
+	// not in flight.
+	needed func() bool
 	// lastEventAt is when the last event, or before the first one the request, arrived.
 	lastEventAt time.Time
 }
 
-// deadline is the time until which the next attempt must start.
+// deadline is the time until which the next attempt must start. A stream in flight is not
+// rejected, so that it may wait longer.
 func (p *pathRequest) deadline() time.Time {
+	if p.needed != nil {
+		return p.call.deadline
+	}
 	return p.lastEventAt.Add(eventTimeout(p.call.decision.Route))
 }
 
 // admissionRequest describes the stream to the admission queue.
 func (p *pathRequest) admissionRequest() *admission.Request {
 	return &admission.Request{
-		Resumed: p.resumed, Priority: p.call.decision.Priority, Arrived: p.call.started,
+		Resumed: p.resumed, HasPath: p.needed != nil, Priority: p.call.decision.Priority, Arrived: p.call.started,
 		TargetLatency: p.call.decision.Route.TargetLatency, Deadline: p.deadline(),
 	}
 }
 
-// ready implements reserver: the error is a *heldBackError if the stream is held back. The
-// first attempt needs no retry budget, later ones do.
+// errPathResponds reports that a stream in flight needs no other path.
+var errPathResponds = errors.New("the stages of the path respond again")
+
+// ready implements reserver: the error is a *heldBackError if the stream is held back, and
+// errPathResponds if it needs no other path. The first attempt needs no retry budget, later
+// ones do.
 func (p *pathRequest) ready(now time.Time) error {
+	if p.needed != nil && !p.needed() {
+		return errPathResponds
+	}
 	if err := p.gateway.ends.admit(now, p.call); err != nil {
 		return err
 	}
-	if p.call.attempts == 0 || p.gateway.budget(p.call.service.Name).CanTake(now, p.resumed) {
+	if p.attempts == 0 || p.gateway.budget(p.call.service.Name).CanTake(now, p.resumed) {
 		return nil
 	}
 	return errBudgetSpent
@@ -54,13 +70,16 @@
 	if err != nil {
 		return reservation{}, err
 	}
-	retry := p.call.attempts > 0
+	retry := p.attempts > 0
 	budget := p.gateway.budget(p.call.service.Name)
 	if retry && !budget.Take(now, p.resumed) {
 		return reservation{}, errBudgetSpent
 	}
 	inFlight, ok := p.gateway.Fleet.Begin(now, path)
 	if !ok {
+		if retry {
+			budget.GiveBack()
+		}
 		return reservation{}, errNoPath
 	}
 	reserved := reservation{path: path, inFlight: inFlight}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	queued   time.Duration // how long the request waited for it
 	// budget is the one from which a retry was taken for it, nil if none was.
 	budget *retrybudget.WindowBudget
+	// connection is open to the first stage, nil if none was opened yet.
+	connection *backend.Connection
 }
 
 // noCapacityError reports a rejection: the wait for capacity reaches the time that the
@@ -40,8 +43,8 @@
 
 // reserver is a request that can reserve capacity.
 type reserver interface {
-	// ready returns an error if the request may not be sent now. After a *heldBackError it
-	// does not wait any longer.
+	// ready returns an error if the request may not be sent now. After one for which
+	// turnedAway reports true it does not wait any longer.
 	ready(now time.Time) error
 	// reserve finds a path and counts the request on it.
 	reserve(now time.Time) (reservation, error)
@@ -54,9 +57,9 @@
 	request    *admission.Request
 	reserver   reserver
 	reserved   chan reservation // capacity 1
-	rejected   chan struct{}    // closed on rejection, after retryAfter or heldBack is set
+	rejected   chan struct{}    // closed on rejection, after retryAfter or turnedAway is set
 	retryAfter time.Duration
-	heldBack   *heldBackError // nil if it was rejected for lack of capacity
+	turnedAway bool // it must not wait, for lastErr
 	enqueued   time.Time
 	// lastErr is why the last check made no reservation. It is nil if the request was
 	// never checked because earlier ones got no reservation.
@@ -75,12 +78,17 @@
 	return &queue{waiters: map[*admission.Request]*waiter{}}
 }
 
-// acquire waits for a reservation. The error is a *noCapacityError, a *heldBackError or that
-// of ctx.
+// turnedAway reports whether a request does not wait after an error of ready.
+func turnedAway(err error) bool {
+	return heldBackOf(err) != nil || errors.Is(err, errPathResponds)
+}
+
+// acquire waits for a reservation. The error is a *noCapacityError, one for which turnedAway
+// reports true, or that of ctx.
 func (q *queue) acquire(ctx context.Context, request *admission.Request, reserver reserver) (reservation, error) {
 	now := time.Now()
-	if heldBack := heldBackOf(reserver.ready(now)); heldBack != nil {
-		return reservation{}, heldBack
+	if err := reserver.ready(now); turnedAway(err) {
+		return reservation{}, err
 	}
 	w, result, ok := q.reserveOrEnqueue(now, request, reserver)
 	if ok {
@@ -91,8 +99,8 @@
 		granted.queued = time.Since(w.enqueued)
 		return granted, nil
 	case <-w.rejected:
-		if w.heldBack != nil {
-			return reservation{}, w.heldBack
+		if w.turnedAway {
+			return reservation{}, w.lastErr
 		}
 		return reservation{}, &noCapacityError{retryAfter: w.retryAfter, waited: time.Since(w.enqueued), cause: w.lastErr}
 	case <-ctx.Done():
@@ -153,7 +161,7 @@
 	for _, request := range q.admission.Ordered(now) {
 		w := q.waiters[request]
 		if w.lastErr = w.reserver.ready(now); w.lastErr != nil {
-			if w.heldBack = heldBackOf(w.lastErr); w.heldBack != nil {
+			if w.turnedAway = turnedAway(w.lastErr); w.turnedAway {
 				q.admission.Remove(request)
 				delete(q.waiters, request)
 				close(w.rejected)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,8 +47,8 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 
-	// mu guards ran, headerWritten and lastEventAt, which only the goroutine of the request
-	// changes, against the search for another path.
+	// mu guards ran, headerWritten, lastEventAt and the attempts of the call, which only the
+	// goroutine of the request changes, against the search for another path.
 	mu             sync.Mutex
 	ran            map[deployment.BackendID]bool // first stages that ran the request or may have run it
 	lastEventID    int64                         // last event that was written to the client, or that its request named
@@ -153,10 +153,18 @@
 
 // reserveNext returns the path for which the last attempt was left, or else waits for one.
 func (s *stream) reserveNext(ctx context.Context) (reservation, error) {
-	if next := s.next; next != nil {
-		s.next = nil
+	next := s.next
+	s.next = nil
+	if next != nil && s.gateway.Fleet.Listed(next.path) {
+		if err := s.gateway.ends.admit(time.Now(), s.call); err != nil {
+			next.release(time.Now())
+			return reservation{}, err
+		}
 		return *next, nil
 	}
+	if next != nil {
+		next.release(time.Now())
+	}
 	request := s.pathRequest()
 	return s.gateway.queue(s.call.service.Name).acquire(ctx, request.admissionRequest(), &request)
 }
@@ -201,7 +209,7 @@
 func (s *stream) pathRequest() pathRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return pathRequest{gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, lastEventAt: s.lastEventAt}
+	return pathRequest{gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, attempts: s.call.attempts, lastEventAt: s.lastEventAt}
 }
 
 // timingFields returns the log fields on the stream's delays.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -22,17 +22,18 @@
 // complete response was written to the client.
 func (s *stream) attempt(ctx context.Context, reserved reservation) (streamOutcome, error) {
 	path := reserved.path
-	s.call.attempts++
+	s.countAttempt()
 	started := time.Now()
 	clientCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	monitored := s.gateway.monitor.add(s.call, reserved, s.hasBegun(), cancel)
 	defer s.gateway.monitor.remove(monitored)
+	defer func() { monitored.end(time.Now()) }()
 	if s.call.decision.Route.Resumable {
 		monitored.setSource(&streamInFlight{stream: s, first: path.IDs[0]})
 	}
-	response, err := s.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, s.backendRequest(path, started))
+	response, err := s.send(ctx, reserved, started)
 	outcome := streamComplete
 	if err == nil {
 		outcome, err = s.handleResponse(response, monitored, started)
@@ -44,7 +45,7 @@
 	if err != nil && left {
 		err = errors.Join(errUnresponsiveStage, err)
 	}
-	s.brokenBy = breakCauseOf(err, left)
+	s.recordBreak(breakCauseOf(err, left), monitored.hasEvents.Load())
 	now := time.Now()
 	monitored.end(now)
 	s.next = monitored.takeSuccessor()
@@ -55,6 +56,30 @@
 	return outcome, err
 }
 
+// countAttempt counts an attempt that begins.
+func (s *stream) countAttempt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.call.attempts++
+}
+
+// send sends the request over the open connection of a reservation, or over a new one.
+func (s *stream) send(ctx context.Context, reserved reservation, now time.Time) (*backend.Response, error) {
+	request := s.backendRequest(reserved.path, now)
+	if reserved.connection != nil {
+		return reserved.connection.Send(ctx, request)
+	}
+	return s.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, request)
+}
+
+// recordBreak records why an attempt was broken. That this instance left a path stays on record
+// until an event has arrived since.
+func (s *stream) recordBreak(cause breakCause, hadEvents bool) {
+	if s.brokenBy != brokenByLeaving || hadEvents {
+		s.brokenBy = cause
+	}
+}
+
 // streamInFlight is a resumable stream during an attempt.
 type streamInFlight struct {
 	stream *stream
@@ -65,7 +90,7 @@
 func (f *streamInFlight) nextPath() (pathRequest, bool) {
 	request := f.stream.pathRequest()
 	request.ran[f.first] = true
-	return request, request.call.attempts < maxStreamAttempts
+	return request, request.attempts < maxStreamAttempts
 }
 
 // hasBegun reports whether the answer to the request has begun.
@@ -124,7 +149,7 @@
 	if errors.As(err, &notSent) {
 		s.recordNotRun(err)
 		if ctx.Err() == nil { // otherwise the attempt was canceled while connecting, which says nothing of the stage
-			s.gateway.markSuspect(time.Now(), path.Hops[0].Address)
+			s.gateway.markUnconnected(time.Now(), path.Hops[0].Address)
 		}
 		return
 	}
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -34,6 +34,7 @@
 	call        *call
 	interrupt   context.CancelFunc
 	sent        time.Time
+	begun       bool         // the request's answer has begun in an earlier attempt
 	lastEvent   atomic.Int64 // Unix nanoseconds
 	hasEvents   atomic.Bool  // at least one event has arrived
 	events      atomic.Int64 // since the last slowdown measurement
@@ -91,10 +92,13 @@
 	s.cancelSeek()
 }
 
-// end releases the stream's current reservation.
+// end releases the stream's current reservation, once.
 func (s *monitoredStream) end(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
 	s.ended = true
 	s.current.inFlight.Done(now, backend.Inconclusive)
 	s.cancelSeek()
@@ -140,7 +144,7 @@
 // add begins to monitor an attempt. begun is set if the request's answer has begun before.
 func (m *streamMonitor) add(c *call, reserved reservation, begun bool, interrupt context.CancelFunc) *monitoredStream {
 	now := time.Now()
-	stream := &monitoredStream{call: c, current: reserved, interrupt: interrupt, sent: now}
+	stream := &monitoredStream{call: c, current: reserved, interrupt: interrupt, sent: now, begun: begun}
 	stream.lastEvent.Store(now.UnixNano())
 	stream.watch = m.ends.begin(c, reserved.inFlight.Servers(), begun, interrupt)
 	m.mu.Lock()
@@ -169,8 +173,8 @@
 			for _, address := range toProbe {
 				go g.monitor.probeFirstStage(ctx, address)
 			}
-			for _, stream := range stalled {
-				go g.monitor.reroute(ctx, stream)
+			for _, stall := range stalled {
+				go g.monitor.reroute(ctx, stall)
 			}
 			for _, stage := range g.monitor.slowdownsToProbe(now) {
 				go g.monitor.probeSlowdown(ctx, stage)
@@ -182,13 +186,20 @@
 	}
 }
 
+// stall is a stream that waits for a suspected stage.
+type stall struct {
+	stream *monitoredStream
+	since  int64 // time of its last event, Unix nanoseconds
+}
+
 // scan returns the stalled streams whose paths include a suspected stage, and the first
 // stages of the other stalled streams, as far as they are due to be probed.
-func (m *streamMonitor) scan(now time.Time) (stalled []*monitoredStream, toProbe []deployment.Address) {
+func (m *streamMonitor) scan(now time.Time) (stalled []stall, toProbe []deployment.Address) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for stream := range m.streams {
-		if stream.sinceLastEvent(now) < stallThreshold || stream.interrupted.Load() || stream.rerouting.Load() || now.UnixNano() < stream.seekAgain.Load() {
+		since := stream.lastEvent.Load()
+		if now.Sub(time.Unix(0, since)) < stallThreshold || stream.interrupted.Load() || stream.rerouting.Load() || now.UnixNano() < stream.seekAgain.Load() {
 			continue
 		}
 		path := stream.path()
@@ -197,7 +208,7 @@
 		}
 		if len(m.config.Fleet.SuspectsOn(path)) > 0 {
 			stream.rerouting.Store(true)
-			stalled = append(stalled, stream)
+			stalled = append(stalled, stall{stream: stream, since: since})
 			continue
 		}
 		first := path.Hops[0].Address
@@ -212,7 +223,8 @@
 // reroute lets a stream continue on a path without its failed stage. The other stages
 // keep their state of the request. If that fails, the stream is sent again along another
 // path once one is reserved, if that is allowed. Otherwise it stays on its path.
-func (m *streamMonitor) reroute(ctx context.Context, stream *monitoredStream) {
+func (m *streamMonitor) reroute(ctx context.Context, stalled stall) {
+	stream := stalled.stream
 	defer stream.rerouting.Store(false)
 	defer func() { stream.seekAgain.Store(time.Now().Add(seekInterval).UnixNano()) }()
 	for range maxReroutes {
@@ -220,6 +232,9 @@
 			stream.abandon()
 			return
 		}
+		if !m.stalledSince(stream, stalled.since) {
+			return
+		}
 		to, ok := m.findReroute(time.Now(), stream)
 		if !ok {
 			break
@@ -238,7 +253,7 @@
 		}
 		m.config.markFull(time.Now(), at)
 	}
-	m.seekSuccessor(ctx, stream)
+	m.seekSuccessor(ctx, stream, stalled.since)
 }
 
 // mayReroute finds out whether the stages that a stream waits for have ended, and reports
@@ -251,7 +266,7 @@
 			suspected = append(suspected, suspectedEnd{server: server})
 		}
 	}
-	if stream.hasEvents.Load() {
+	if stream.begun || stream.hasEvents.Load() {
 		go m.ends.checkEnds(ctx, suspected)
 		return true
 	}
@@ -291,7 +306,9 @@
 	report, err := m.config.BackendClient.Report(ctx, first)
 	now := time.Now()
 	if err != nil {
-		m.markSuspect(now, first, first, err)
+		if m.config.markUnconnected(now, first) {
+			m.logSuspect(first, first, err)
+		}
 		return
 	}
 	for _, stalled := range report.Stalled {
@@ -301,11 +318,15 @@
 
 func (m *streamMonitor) markSuspect(now time.Time, address, reportedBy deployment.Address, cause error) {
 	if m.config.markSuspect(now, address) {
-		m.config.Logger.Info("stage suspected", zap.String("address", string(address)),
-			zap.String("told-by", string(reportedBy)), zap.NamedError("cause", cause))
+		m.logSuspect(address, reportedBy, cause)
 	}
 }
 
+func (m *streamMonitor) logSuspect(address, reportedBy deployment.Address, cause error) {
+	m.config.Logger.Info("stage suspected", zap.String("address", string(address)),
+		zap.String("told-by", string(reportedBy)), zap.NamedError("cause", cause))
+}
+
 func (m *streamMonitor) suspectsToProbe(now time.Time) []deployment.Backend {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -326,6 +347,7 @@
 		m.config.Logger.Debug("suspected stage does not respond", zap.String("address", string(suspect.Address)), zap.Error(err))
 		return
 	}
+	m.config.Fleet.RecordAnswered(time.Now(), suspect.ID)
 	if m.config.Fleet.ClearSuspect(time.Now(), suspect.ID) {
 		m.config.Logger.Info("stage sound again", zap.String("address", string(suspect.Address)))
 	}
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -18,18 +18,40 @@
 	nextPath() (pathRequest, bool)
 }
 
-// seekSuccessor waits for another path for a stream that waits for a failed stage. The stream
-// leaves its path only once another one is reserved: the stage may only be silent for a
-// while. The search ends when the stream goes on or ends.
-func (m *streamMonitor) seekSuccessor(ctx context.Context, stream *monitoredStream) {
+// acquireConnected waits for a path and opens a connection to its first stage, which shows that
+// the path is more than a reservation.
+func (g *Gateway) acquireConnected(ctx context.Context, request *pathRequest) (reservation, error) {
+	for {
+		reserved, err := g.queue(request.call.service.Name).acquire(ctx, request.admissionRequest(), request)
+		if err != nil {
+			return reservation{}, err
+		}
+		first := reserved.inFlight.Backend.Address
+		reserved.connection, err = g.transport.Connect(ctx, first)
+		if err == nil {
+			return reserved, nil
+		}
+		reserved.release(time.Now())
+		if ctx.Err() != nil {
+			return reservation{}, ctx.Err()
+		}
+		g.markUnconnected(time.Now(), first)
+	}
+}
+
+// seekSuccessor waits for another path for a stream that waits for a failed stage since its last
+// event. The stream leaves its path only once another one is reserved and its first stage is
+// connected: the stage may only be silent for a while. The search ends when the stream goes on
+// or ends, or the stages of its path respond again.
+func (m *streamMonitor) seekSuccessor(ctx context.Context, stream *monitoredStream, since int64) {
 	request, ok := stream.nextPath()
-	if !ok || !time.Now().Before(request.deadline()) {
+	if !ok {
 		return
 	}
+	request.needed = func() bool { return m.stalledSince(stream, since) }
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	since, ok := stream.beginSeek(cancel)
-	if !ok {
+	if !stream.beginSeek(cancel) {
 		return
 	}
 	next, err := m.acquire(ctx, &request)
@@ -37,21 +59,27 @@
 		m.config.Logger.Debug("no other path", zap.String("request", stream.call.id), zap.Error(err))
 		return
 	}
-	if !stream.leaveFor(next, since) {
+	if !m.stalledSince(stream, since) || !stream.leaveFor(next, since) {
 		next.release(time.Now())
 	}
 }
 
+// stalledSince reports whether a stream has got no event since a time, in Unix nanoseconds, and
+// a stage of its path is suspected.
+func (m *streamMonitor) stalledSince(stream *monitoredStream, since int64) bool {
+	return stream.lastEvent.Load() == since && len(m.config.Fleet.SuspectsOn(stream.path())) > 0
+}
+
 // beginSeek records that another path is sought. cancel is called when the stream goes on or
-// ends. It returns the time of the stream's last event, and false if the stream has ended.
-func (s *monitoredStream) beginSeek(cancel context.CancelFunc) (since int64, ok bool) {
+// ends. It returns false if the stream has ended.
+func (s *monitoredStream) beginSeek(cancel context.CancelFunc) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
-		return 0, false
+		return false
 	}
 	s.stopSeek = cancel
-	return s.lastEvent.Load(), true
+	return true
 }
 
 // endSeek ends the search for another path, if one is under way.
@@ -70,7 +98,7 @@
 }
 
 // leaveFor makes the stream leave its path for another one. It returns false if the stream has
-// ended or has got an event since the search began, which leaves the reservation to the caller.
+// ended or has got an event since a time, which leaves the reservation to the caller.
 func (s *monitoredStream) leaveFor(next reservation, since int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,4 +151,7 @@
 	if r.budget != nil {
 		r.budget.GiveBack()
 	}
+	if r.connection != nil {
+		r.connection.Close()
+	}
 }
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -26,6 +26,7 @@
 	c := &call{service: service, started: now}
 	c.decision.Route = &deployment.Route{Resumable: true, MaxAttempts: 2}
 	stream := m.add(c, testReservation(t, fleet, now), false, func() {})
+	fleet.MarkSuspect(now, "10.0.0.1:80")
 	stream.setSource(&stalledSource{call: c, now: now})
 	return m, stream, fleet
 }
@@ -51,7 +52,7 @@
 // servers were only silent for a while.
 func TestStalledStreamWithoutOtherPathStays(t *testing.T) {
 	m, stream, _ := seekingMonitor(t, func(context.Context) (reservation, error) { return reservation{}, errors.New("no path") })
-	m.seekSuccessor(context.Background(), stream)
+	m.seekSuccessor(context.Background(), stream, stream.lastEvent.Load())
 	assert.Assert(t, !stream.interrupted.Load())
 	assert.Assert(t, stream.takeSuccessor() == nil)
 }
@@ -62,7 +63,7 @@
 	var next reservation
 	m, stream, fleet := seekingMonitor(t, func(context.Context) (reservation, error) { return next, nil })
 	next = testReservation(t, fleet, time.Now())
-	m.seekSuccessor(context.Background(), stream)
+	m.seekSuccessor(context.Background(), stream, stream.lastEvent.Load())
 	assert.Assert(t, stream.interrupted.Load())
 	assert.Equal(t, stream.takeSuccessor().inFlight, next.inFlight)
 }
@@ -83,7 +84,7 @@
 	next.budget = budget
 	assert.Assert(t, budget.Take(now, true))
 	stream.rerouting.Store(true)
-	m.seekSuccessor(context.Background(), stream)
+	m.seekSuccessor(context.Background(), stream, stream.lastEvent.Load())
 	assert.Assert(t, !stream.interrupted.Load())
 	assert.Equal(t, budget.Report(now).Spent, 0.0)
 	assert.Equal(t, fleet.ZoneLoads(now)["i-1"], 1)
