Stand-in: links that hang, are reset or closed, and servers that fall silent

Change: platformtest.Links and Server.Silence; commands for them in scripts, with a steady load whose first tries are counted by router; the time before the first event, of plain requests, and parts of the configuration can be set. The check unchanged reports and lets a script go on; it still fails it. Streams through a silent stage are whole there, and run on from where they were. Conclusion: what a script of these sees broken is the router's doing.

--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/testarchive"
@@ -36,9 +37,18 @@
 //	                         that are added later
 //	passes                   makes tokens take the time of the passes of all stages, on
 //	                         model servers that are added later
+//	first-event 250          sets the time before the first event of streams, and
+//	plain-time 400           that of requests of the plain service, in milliseconds, on
+//	                         servers that are added later
 //	router a zone-a          starts a router
 //	configure 1 key          writes a configuration with a version; "key" includes the
-//	                         team's API key, any other word leaves it out
+//	                         team's API key, any other word leaves it out; "attempts=1"
+//	                         and "idle=4000" set the max-attempts of streams and the
+//	                         idle timeout of clients in milliseconds
+//	retries 0.2 10           sets the ratio and the reserve of the retry budget of routers
+//	                         that are started later
+//	deadline 5000            sets the deadline of requests that are started later, in
+//	                         milliseconds
 //	placed zone-a            waits until the servers of a zone hold all layers
 //	ready a                  waits until a router reports that it is ready
 //	streams a 20             starts streams at a router
@@ -81,6 +91,31 @@
 //	none-held                checks that no request of the crowd was rejected as one that
 //	                         ends backend servers
 //
+//	silent 3 1000            makes a server silent for a number of milliseconds, after which
+//	                         it goes on with nothing lost; "plain" names the servers of plain
+//	                         services, and first, middle and last the servers of all zones
+//	                         that hold the first, the middle or the last layer
+//	links a hang             injects a fault into the links of a router to all servers, or to
+//	                         those named after it: "plain", "model" or a server's number
+//	links-zone zone-a hang   does so for all routers of a zone
+//	steady                   begins to send, at all routers at a steady rate, streams and
+//	                         requests that may run at most once and that may be repeated
+//	settled                  ends that, and waits for the ends of these requests
+//	served                   checks that, from 3 s after each cut began, enough of the first
+//	                         tries at the routers that were cut off from all servers were
+//	                         served (see checkServed)
+//	unharmed                 checks that the other routers served all requests
+//	ended                    checks that each of these requests got a response: a whole one,
+//	                         or an error, and that none that is reported as not executed
+//	                         ran; with "deadline", streams may be cut at their deadline
+//	rejected-at-once         checks that, from 3 s after each cut began, all requests were
+//	                         rejected, with the time after which to come back and at once
+//	direct a                 waits until a router sends all its requests to the servers itself
+//
+// Cuts are the faults of links to more than one server. The faults of a link are hang (bytes and new connections wait), reset (connections are
+// reset, new ones refused), closed (connections live on, new ones are refused) and
+// closed-hang (connections live on, new ones wait); sound ends them.
+//
 // The faults of a server:
 //
 //	sound                    ends the fault
@@ -128,6 +163,12 @@
 	crowd      []crowdResult
 	harmful    bool // the crowd has requests on which servers end
 	plainCrowd bool
+
+	retryRatio   float64
+	retryReserve int
+	deadline     time.Duration // of requests
+	cuts         []linkCut
+	steady       *steadyLoad
 }
 
 type testRouter struct {
@@ -147,7 +188,12 @@
 
 func newScriptRunner(t *testing.T) *scriptRunner {
 	store := platformtest.NewStore()
-	return &scriptRunner{t: t, store: store, cluster: platformtest.NewCluster(store), routers: map[string]*testRouter{}, capacity: platformtest.DefaultCapacity()}
+	return &scriptRunner{
+		t: t, store: store, cluster: platformtest.NewCluster(store), routers: map[string]*testRouter{}, capacity: platformtest.DefaultCapacity(),
+		// 20 retries for each request are more than any request can make (7, see
+		// gateway.maxStreamAttempts), so the budget does not limit a script.
+		retryRatio: 20, retryReserve: 2000, deadline: time.Minute,
+	}
 }
 
 func (sr *scriptRunner) close() {
@@ -172,6 +218,12 @@
 	case "passes":
 		sr.capacity.Passes = true
 		sr.cluster.SetCapacity(sr.capacity)
+	case "first-event":
+		sr.capacity.FirstEvent = sr.milliseconds(fields[1])
+		sr.cluster.SetCapacity(sr.capacity)
+	case "plain-time":
+		sr.capacity.PlainTime = sr.milliseconds(fields[1])
+		sr.cluster.SetCapacity(sr.capacity)
 	case "hold":
 		sr.cluster.Hold()
 	case "release":
@@ -181,8 +233,11 @@
 	case "router":
 		sr.startRouter(fields[1], fields[2])
 	case "configure":
-		sr.store.Put(platform.ConfigurationTopic, platform.ConfigurationKey,
-			platformtest.ConfigurationJSON(sr.number(fields[1]), fields[2] == "key"))
+		sr.store.Put(platform.ConfigurationTopic, platform.ConfigurationKey, sr.configuration(fields[1:]).JSON())
+	case "retries":
+		sr.setRetries(fields[1], fields[2])
+	case "deadline":
+		sr.deadline = sr.milliseconds(fields[1])
 	case "placed":
 		sr.await("placed", func() bool { return sr.placed(fields[1]) })
 	case "ready":
@@ -214,7 +269,7 @@
 	case "remember":
 		sr.layers = sr.heldLayers()
 	case "unchanged":
-		assert.DeepEqual(sr.t, sr.heldLayers(), sr.layers)
+		assert.Check(sr.t, cmp.DeepEqual(sr.heldLayers(), sr.layers))
 	case "roll-back":
 		sr.store.RollBack(platform.ConfigurationTopic, sr.number(fields[1]))
 	case "forget":
@@ -242,12 +297,70 @@
 	case "none-held":
 		sr.checkNoneHeld()
 	case "pause":
-		time.Sleep(time.Duration(sr.number(fields[1])) * time.Millisecond)
+		time.Sleep(sr.milliseconds(fields[1]))
 	default:
-		sr.t.Fatalf("unknown command %q", fields[0])
+		if !sr.linkCommand(fields) {
+			sr.t.Fatalf("unknown command %q", fields[0])
+		}
 	}
 }
 
+// linkCommand runs a command on silent servers and on links. It reports false if it is none.
+func (sr *scriptRunner) linkCommand(fields []string) bool {
+	switch fields[0] {
+	case "silent":
+		sr.silence(fields[1], sr.milliseconds(fields[2]))
+	case "links":
+		sr.setLinks(fields[1:2], fields[2], fields[3:])
+	case "links-zone":
+		sr.setLinks(sr.routersOf(fields[1]), fields[2], fields[3:])
+	case "steady":
+		sr.startSteadyLoad()
+	case "settled":
+		sr.steady.finish()
+	case "served":
+		sr.checkServed()
+	case "unharmed":
+		sr.checkUnharmed()
+	case "ended":
+		sr.checkEnded(len(fields) > 1)
+	case "rejected-at-once":
+		sr.checkRejectedAtOnce()
+	case "direct":
+		sr.await("direct", func() bool { return sr.servesDirectly(fields[1]) })
+	default:
+		return false
+	}
+	return true
+}
+
+func (sr *scriptRunner) milliseconds(text string) time.Duration {
+	return time.Duration(sr.number(text)) * time.Millisecond
+}
+
+// configuration returns the configuration that the arguments of a command describe.
+func (sr *scriptRunner) configuration(arguments []string) platformtest.Configuration {
+	configuration := platformtest.DefaultConfiguration(sr.number(arguments[0]), arguments[1] == "key")
+	for _, argument := range arguments[2:] {
+		name, value, _ := strings.Cut(argument, "=")
+		switch name {
+		case "attempts":
+			configuration.StreamAttempts = sr.number(value)
+		case "idle":
+			configuration.IdleTimeout = sr.milliseconds(value)
+		default:
+			sr.t.Fatalf("unknown part of a configuration %q", argument)
+		}
+	}
+	return configuration
+}
+
+func (sr *scriptRunner) setRetries(ratio, reserve string) {
+	value, err := strconv.ParseFloat(ratio, 64)
+	assert.NilError(sr.t, err)
+	sr.retryRatio, sr.retryReserve = value, sr.number(reserve)
+}
+
 func (sr *scriptRunner) number(text string) int {
 	n, err := strconv.Atoi(text)
 	assert.NilError(sr.t, err)
@@ -305,12 +418,10 @@
 		FrontAddress: local(), ReadyAddress: local(), StoreAddress: sr.store.Address(),
 		PeerAddress: local(), Seeds: sr.seeds(), MemoryLimit: 256 << 20,
 		ShutdownGrace: 4 * time.Second,
-		// 20 retries for each request are more than any request can make (7, see
-		// gateway.maxStreamAttempts), so the budget does not limit a script.
-		RetryRatio: 20, RetryWindow: 10 * time.Second, RetryReserve: 2000,
+		RetryRatio:    sr.retryRatio, RetryWindow: 10 * time.Second, RetryReserve: sr.retryReserve,
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := newRouter(settings, Options{MetricsPort: freePort(sr.t), Output: io.Discard})
+	r := newRouter(settings, Options{MetricsPort: freePort(sr.t), Output: io.Discard, WrapDial: sr.cluster.Links().For(settings.Instance)})
 	started := &testRouter{settings: settings, stop: stop, done: make(chan error, 1)}
 	sr.routers[name] = started
 	go func() { started.done <- r.run(ctx) }()
@@ -410,7 +521,7 @@
 	request.Host = platformtest.Host
 	request.Header.Set(platform.HeaderRequestID, got.id)
 	request.Header.Set(platform.HeaderAPIKey, platformtest.APIKey)
-	request.Header.Set(platform.HeaderDeadline, "60000")
+	request.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(sr.deadline))
 	request.Header.Set(platform.HeaderTokenCounts, "700,60")
 	if parts != "" {
 		request.Header.Set(platform.HeaderPromptParts, parts)
