relay: tests for long requests and for refusals in the middle of a body

Of 16 injected faults, the tests missed three: a refusal that leaves the rest of the body unread, a read deadline that is not cleared, and no read after the last byte. The first has a test now. The third was no fault: net/http notices the end with the last byte, so that read is removed. The second changes nothing with this version of net/http, which clears the deadline at the end of the body; TestLongRequestIsCanceled holds it to that.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -181,10 +181,6 @@
 	if _, err := io.ReadFull(r.Body, data); err != nil {
 		return nil, err
 	}
-	// net/http notices the end of the body only with a read after the last byte.
-	if _, err := r.Body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-		return nil, errors.Join(io.ErrUnexpectedEOF, err)
-	}
 	return data, controller.SetReadDeadline(time.Time{})
 }
 
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -360,6 +360,24 @@
 	}
 }
 
+// TestLongRequestIsCanceled guards against a deadline for reading the request that also ends
+// its answer.
+func TestLongRequestIsCanceled(t *testing.T) {
+	failed := make(chan error, 1)
+	peer, _ := startPeer(t, 0, func(w http.ResponseWriter, r *http.Request, _ Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(readTimeout + waitLimit/2):
+		}
+		failed <- r.Context().Err()
+		SetAnswered(w.Header(), nil)
+	})
+	request := sampleRequest()
+	request.Remaining = time.Minute
+	answer(t, send(context.Background(), peer, request))
+	assert.NilError(t, <-failed)
+}
+
 // TestClosedAnswerGoesOn guards against a peer that goes on after the sender has closed the
 // answer.
 func TestClosedAnswerGoesOn(t *testing.T) {
@@ -500,6 +518,24 @@
 	assertIdle(t, handler)
 }
 
+// TestRefusedRequestIsReadInPart guards against a sender that is still writing when the peer
+// closes the connection, and loses the refusal.
+func TestRefusedRequestIsReadInPart(t *testing.T) {
+	const size = 4 << 20
+	key := NewKey()
+	handler := NewHandler(HandlerConfig{
+		Key: key, BodyLimit: func() int64 { return 1 }, Server: never(t), Logger: zap.NewNop(),
+	})
+	body := bytes.NewReader(make([]byte, size))
+	r := httptest.NewRequest(http.MethodPost, Path, body)
+	r.Header.Set(headerKey, key.header())
+	r.Header.Set(headerHops, firstHop)
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	assert.Equal(t, w.Header().Get(headerReason), string(ReasonTooLarge))
+	assert.Equal(t, body.Len(), 0)
+}
+
 // TestTooManyRequestsAreServed guards against a peer that takes more requests, or more bytes,
 // than it has room for.
 func TestTooManyRequestsAreServed(t *testing.T) {
