backend: what an instance sees over its link is told as of the link

An instance that loses its links tells its zone that the servers are suspected.

A link that is suspected (MarkLinkSuspect) and of which LinkWorks was told keeps the server from being the first stage of this instance's paths, for 3 s, and nothing else. What a first stage reports, and StageSuspected, stay suspicions of the server.

Nothing calls MarkLinkSuspect or RecordContact yet, and nobody sends the observations, so that the router behaves as before.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -28,11 +28,12 @@
 	avoidUntil     time.Time
 	suspectSince   time.Time                           // zero if it is not suspected
 	suspicions     map[deployment.InstanceID]time.Time // of other instances
-	missingSince   time.Time                           // zero while it is listed
-	fullAt         time.Time                           // when the limit was last reduced, zero if it never was
-	limit          float64                             // on the requests of all instances, as of fullAt
-	rejections     int                                 // consecutive
-	rejectingSince time.Time                           // first of the consecutive rejections
+	link           link
+	missingSince   time.Time // zero while it is listed
+	fullAt         time.Time // when the limit was last reduced, zero if it never was
+	limit          float64   // on the requests of all instances, as of fullAt
+	rejections     int       // consecutive
+	rejectingSince time.Time // first of the consecutive rejections
 	firstEvent     firstEventTime
 	slowdownFactor float64 // ratio of its time for a step to the expected time, 0 if unknown
 	slowdownAt     time.Time
@@ -45,7 +46,7 @@
 }
 
 func (s *server) usable(now time.Time) bool {
-	return !s.Draining && s.suspectSince.IsZero() && !now.Before(s.avoidUntil)
+	return !s.Draining && !s.suspected() && !now.Before(s.avoidUntil)
 }
 
 // Fleet holds the list of backend servers and what this instance has observed of each.
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -61,7 +61,7 @@
 	var stages []pipeline.Stage
 	for _, s := range f.servers {
 		layers := s.availableLayers(now)
-		if s.Service != service.Name || layers.Len() == 0 || s.Draining || !s.suspectSince.IsZero() {
+		if s.Service != service.Name || layers.Len() == 0 || s.Draining || s.outOfPaths(now) {
 			continue
 		}
 		stage := pipeline.Stage{
@@ -70,6 +70,7 @@
 			Requests: f.requestsOn(s), TimeToFirstEvent: s.firstEvent.expected(now),
 		}
 		stage.Full = !f.mayStart(now, s, service, &stage)
+		stage.Unreachable = s.link.suspected()
 		stage.AtLimit = !stage.Full && layers.First == 0 && !f.mayStartWithinLimit(now, s)
 		stages = append(stages, stage)
 	}
@@ -106,8 +107,8 @@
 			continue
 		}
 		status := ServerStatus{Backend: s.Backend, AtLimit: s.rate.Denied(now)}
-		if !s.suspectSince.IsZero() {
-			status.UnavailableFor = now.Sub(s.suspectSince)
+		if s.outOfPaths(now) {
+			status.UnavailableFor = now.Sub(s.suspectedSince())
 		}
 		if s.rejections >= rejectingThreshold {
 			status.UnavailableFor = max(status.UnavailableFor, now.Sub(s.rejectingSince))
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -28,8 +28,9 @@
 	return max(1, s.slowdownFactor)
 }
 
-// MarkSuspect keeps an unresponsive stage out of new paths. It returns the stage, and
-// whether it was not suspected before.
+// MarkSuspect keeps an unresponsive stage out of new paths: the stage itself, as another
+// stage or a slow response has told, not only the link to it (see MarkLinkSuspect). It
+// returns the stage, and whether it was not suspected before.
 func (f *Fleet) MarkSuspect(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,10 +68,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[id]
-	if !ok || s.suspectSince.IsZero() || now.Before(s.avoidUntil) {
+	if !ok || !s.suspected() || now.Before(s.avoidUntil) || now.Before(s.link.avoidUntil) {
 		return false
 	}
 	s.suspectSince = time.Time{}
+	s.link.clear()
 	return true
 }
 
@@ -84,13 +86,15 @@
 	}
 }
 
-// SuspectsOn returns the suspected stages of a path.
-func (f *Fleet) SuspectsOn(path pipeline.Path) []deployment.Address {
+// SuspectsOn returns the suspected stages of a path. A later stage to which only this
+// instance's link fails is none.
+func (f *Fleet) SuspectsOn(now time.Time, path pipeline.Path) []deployment.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var suspects []deployment.Address
 	for i, id := range path.IDs {
-		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
+		s, ok := f.servers[id]
+		if ok && (s.outOfPaths(now) || i == 0 && s.link.suspected()) {
 			suspects = append(suspects, path.Hops[i].Address)
 		}
 	}
@@ -103,7 +107,7 @@
 	defer f.mu.Unlock()
 	var suspects []deployment.Backend
 	for _, s := range f.servers {
-		if !s.suspectSince.IsZero() {
+		if s.suspected() {
 			suspects = append(suspects, s.Backend)
 		}
 	}
--- a/internal/backend/unlisted.go
+++ b/internal/backend/unlisted.go
@@ -17,7 +17,7 @@
 // was draining or had failed. The entry may have expired because the list was written
 // late.
 func (f *Fleet) recordUnlisted(now time.Time, s *server) {
-	if s.Draining || !s.suspectSince.IsZero() || s.rejections >= rejectingThreshold {
+	if s.Draining || s.suspected() || s.rejections >= rejectingThreshold {
 		return
 	}
 	s.missingSince = now
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	path := monitored.path()
-	unresponsive := s.gateway.Fleet.SuspectsOn(path)
+	unresponsive := s.gateway.Fleet.SuspectsOn(now, path)
 	var suspected []suspectedEnd
 	for i, server := range monitored.watched().servers {
 		switch {
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -184,7 +184,7 @@
 		if !stream.hasEvents.Load() {
 			m.config.Fleet.RecordFirstEvent(now, path.IDs[0], now.Sub(stream.sent))
 		}
-		if len(m.config.Fleet.SuspectsOn(path)) > 0 {
+		if len(m.config.Fleet.SuspectsOn(now, path)) > 0 {
 			stream.rerouting.Store(true)
 			stalled = append(stalled, stream)
 			continue
@@ -232,7 +232,7 @@
 // mayReroute finds out whether the stages that a stream waits for have ended, and reports
 // whether the stream may be sent to others: one whose answer has not begun may be to blame.
 func (m *streamMonitor) mayReroute(ctx context.Context, stream *monitoredStream) bool {
-	suspects := m.config.Fleet.SuspectsOn(stream.path())
+	suspects := m.config.Fleet.SuspectsOn(time.Now(), stream.path())
 	var suspected []suspectedEnd
 	for _, server := range stream.watched().servers {
 		if slices.Contains(suspects, server.Address) {
@@ -253,7 +253,7 @@
 func (m *streamMonitor) findReroute(now time.Time, stream *monitoredStream) (reservation, bool) {
 	service := stream.call.service
 	path := stream.path()
-	suspects := m.config.Fleet.SuspectsOn(path)
+	suspects := m.config.Fleet.SuspectsOn(now, path)
 	if len(suspects) != 1 {
 		return reservation{}, false
 	}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -35,6 +35,9 @@
 	// AtLimit is set while the stage must not be the first one of a path, since it takes no
 	// more requests a second.
 	AtLimit bool
+	// Unreachable is set while the stage must not be the first one of a path, since this
+	// instance does not reach it.
+	Unreachable bool
 	// TimeToFirstEvent is the time to the first event of recent requests whose path
 	// started at this stage, 0 if unknown.
 	TimeToFirstEvent time.Duration
@@ -274,7 +277,7 @@
 // of its last hop, its cost including the hop to next, and its number of hops.
 func (s *search) cheapest(at, next int, zone deployment.Zone, arrivals []int) (previous int, cost time.Duration, hops int, ok bool) {
 	if s.boundaries[at] == 0 {
-		if s.stages[next].AtLimit {
+		if s.stages[next].AtLimit || s.stages[next].Unreachable {
 			return 0, 0, 0, false
 		}
 		if s.stages[next].Zone != zone {
