--- a/internal/backend/fleet_test.go
+++ b/internal/backend/fleet_test.go
@@ -397,7 +397,7 @@
 	replaced.RecordResponsive(path)
 	assert.Equal(t, len(replaced.Stages(now, service)), 0)
 	unconnected := newFleet()
-	unconnected.MarkUnconnected(now, "10.0.0.1:80")
+	unconnected.MarkLinkSuspect(now, "10.0.0.1:80")
 	unconnected.RecordResponsive(path)
 	assert.Equal(t, len(unconnected.Stages(now, service)), 0)
 }
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -61,7 +61,7 @@
 	var stages []pipeline.Stage
 	for _, s := range f.servers {
 		layers := s.availableLayers(now)
-		if s.Service != service.Name || layers.Len() == 0 || s.Draining || !s.suspectSince.IsZero() {
+		if s.Service != service.Name || layers.Len() == 0 || s.Draining || s.outOfPaths(now) {
 			continue
 		}
 		stage := pipeline.Stage{
@@ -70,6 +70,7 @@
 			Requests: f.requestsOn(s), TimeToFirstEvent: s.firstEvent.expected(now),
 		}
 		stage.Full = !f.mayStart(now, s, service, &stage)
+		stage.Unreachable = s.link.suspected()
 		stage.AtLimit = !stage.Full && layers.First == 0 && !f.mayStartWithinLimit(now, s)
 		stages = append(stages, stage)
 	}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -28,8 +28,9 @@
 	return max(1, s.slowdownFactor)
 }
 
-// MarkSuspect keeps an unresponsive stage out of new paths. It returns the stage, and
-// whether it was not suspected before.
+// MarkSuspect keeps an unresponsive stage out of new paths: the stage itself, as another
+// stage or a slow response has told, not only the link to it (see MarkLinkSuspect). It
+// returns the stage, and whether it was not suspected before.
 func (f *Fleet) MarkSuspect(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -49,20 +50,6 @@
 	return fresh
 }
 
-// MarkUnconnected keeps a stage to which no connection could be opened out of new paths. Events
-// on earlier connections do not end this suspicion. It returns the stage, and whether it was not
-// suspected before.
-func (f *Fleet) MarkUnconnected(now time.Time, address deployment.Address) (deployment.BackendID, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.byAddress(address)
-	if s == nil {
-		return "", false
-	}
-	s.unconnected = true
-	return s.ID, s.markSuspect(now)
-}
-
 // RecordAnswered records that a stage has answered. It stays out of new paths while it is
 // suspected, but its layers need not be loaded elsewhere.
 func (f *Fleet) RecordAnswered(now time.Time, id deployment.BackendID) {
@@ -73,18 +60,19 @@
 	}
 }
 
-// unavailableFor returns how long a suspected stage has not answered.
+// unavailableFor returns how long a stage that is suspected, not only over this instance's link,
+// has not answered.
 func (s *server) unavailableFor(now time.Time) time.Duration {
-	if s.suspectSince.IsZero() || s.answeredAt.After(s.suspectSince) {
+	since := s.suspectedSince()
+	if !s.outOfPaths(now) || s.answeredAt.After(since) {
 		return 0
 	}
-	return now.Sub(s.suspectSince)
+	return now.Sub(since)
 }
 
 func (s *server) clearSuspicion() {
 	s.suspectSince = time.Time{}
 	s.suspectUntil = time.Time{}
-	s.unconnected = false
 }
 
 // MarkWrongLayers keeps a stage that does not hold the expected layers out of new paths
@@ -105,10 +93,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[id]
-	if !ok || s.suspectSince.IsZero() || now.Before(s.suspectUntil) || now.Before(s.avoidUntil) {
+	if !ok || !s.suspected() || now.Before(s.suspectUntil) || now.Before(s.avoidUntil) || now.Before(s.link.avoidUntil) {
 		return false
 	}
 	s.clearSuspicion()
+	s.link.clear()
 	return true
 }
 
@@ -118,7 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, id := range path.IDs {
-		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() && !s.unconnected {
+		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
 			s.clearSuspicion()
 		}
 	}
@@ -134,13 +123,15 @@
 	}
 }
 
-// SuspectsOn returns the suspected stages of a path.
-func (f *Fleet) SuspectsOn(path pipeline.Path) []deployment.Address {
+// SuspectsOn returns the suspected stages of a path. A later stage to which only this
+// instance's link fails is none.
+func (f *Fleet) SuspectsOn(now time.Time, path pipeline.Path) []deployment.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var suspects []deployment.Address
 	for i, id := range path.IDs {
-		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() {
+		s, ok := f.servers[id]
+		if ok && (s.outOfPaths(now) || i == 0 && s.link.suspected()) {
 			suspects = append(suspects, path.Hops[i].Address)
 		}
 	}
@@ -153,7 +144,7 @@
 	defer f.mu.Unlock()
 	var suspects []deployment.Backend
 	for _, s := range f.servers {
-		if !s.suspectSince.IsZero() {
+		if s.suspected() {
 			suspects = append(suspects, s.Backend)
 		}
 	}
--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -20,7 +20,7 @@
 // markUnconnected keeps a stage to which no connection could be opened out of new paths, and
 // tells the others of it if that is new. It reports whether it is.
 func (c *Config) markUnconnected(now time.Time, address deployment.Address) bool {
-	id, fresh := c.Fleet.MarkUnconnected(now, address)
+	id, fresh := c.Fleet.MarkLinkSuspect(now, address)
 	if fresh {
 		c.OnObservation(id, backend.StageSuspected)
 	}
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -67,7 +67,7 @@
 // stalledSince reports whether a stream has got no event since a time, in Unix nanoseconds, and
 // a stage of its path is suspected.
 func (m *streamMonitor) stalledSince(stream *monitoredStream, since int64) bool {
-	return stream.lastEvent.Load() == since && len(m.config.Fleet.SuspectsOn(stream.path())) > 0
+	return stream.lastEvent.Load() == since && len(m.config.Fleet.SuspectsOn(time.Now(), stream.path())) > 0
 }
 
 // beginSeek records that another path is sought. cancel is called when the stream goes on or
