--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -88,6 +88,32 @@
 	}
 }
 
+// RecordConnected records that this instance has connected to a server, which also ends the
+// suspicion of its own link.
+func (f *Fleet) RecordConnected(now time.Time, address deployment.Address) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.byAddress(address); s != nil {
+		s.link.contactAt = now
+		clear(s.link.failures)
+		s.link.clear()
+		s.link.avoidUntil = time.Time{}
+	}
+}
+
+// ClearLinkSuspects ends the suspicions of the links to the servers of a service, as this
+// instance had lost them all and has them again.
+func (f *Fleet) ClearLinkSuspects(service deployment.ServiceName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if s.Service == service && !s.link.told {
+			s.link.clear()
+			s.link.avoidUntil = time.Time{}
+		}
+	}
+}
+
 // MarkLinkSuspect keeps a stage to which this instance can't connect out of new paths. If
 // another instance reaches it, it stays out as the first stage only. MarkLinkSuspect returns
 // the stage, and whether the link to it was not suspected before.
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -12,6 +12,15 @@
 // StageLoads are numbers of requests in flight by backend server.
 type StageLoads map[deployment.BackendID]int
 
+// Total returns the sum of the loads.
+func (l StageLoads) Total() int {
+	total := 0
+	for _, requests := range l {
+		total += requests
+	}
+	return total
+}
+
 // sharedLoad is what the other instances have in flight on each stage, as they report it:
 // each instance of this zone by itself, and all instances of another zone as one sum.
 // othersOn also estimates what has not been reported yet: after a zone or a stage fails, all
