--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -84,7 +84,9 @@
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
 	case StageLoads:
-		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits)}
+		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits), CutOff: m.CutOff}
+	case LinksState:
+		wire.LinksCutOff = &m.CutOff
 	case ZoneLoads:
 		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads), Limits: limitsToWire(m.Limits)}
 	case StageObserved:
@@ -154,7 +156,10 @@
 		id, layers := wire.LayersOrdered.layers()
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
 	case wire.StageLoads != nil:
-		return StageLoads{Loads: loadsFromWire(wire.StageLoads.Loads), Retries: retriesFromWire(wire.StageLoads.Retries), Limits: limitsFromWire(wire.StageLoads.Limits)}, nil
+		loads := wire.StageLoads
+		return StageLoads{Loads: loadsFromWire(loads.Loads), Retries: retriesFromWire(loads.Retries), Limits: limitsFromWire(loads.Limits), CutOff: loads.CutOff}, nil
+	case wire.LinksCutOff != nil:
+		return LinksState{CutOff: *wire.LinksCutOff}, nil
 	case wire.StageObserved != nil:
 		return StageObserved{Backend: deployment.BackendID(wire.StageObserved.Backend), What: backend.Observation(wire.StageObserved.What)}, nil
 	case wire.PoisonEvidence != nil:
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -33,6 +33,7 @@
 		ForwardRequest{ID: 7, Key: "k"}, ForwardResponse{ID: 7, Status: 200},
 		StageLoads{Loads: map[deployment.BackendID]int{"b": 3}}, ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{"b": 3}},
 		StageObserved{Backend: "b", What: backend.StageSuspected},
+		LinksState{CutOff: true}, LinksState{}, StageLoads{CutOff: true},
 	} {
 		data, err := Encode(m)
 		assert.NilError(f, err)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -182,6 +182,13 @@
 	Loads   map[deployment.BackendID]int
 	Retries map[deployment.ServiceName]retrybudget.Spending
 	Limits  backend.LimitReports
+	CutOff  bool // the sender has lost its links to the backend servers
+}
+
+// LinksState reports whether the sender has lost its links to the backend servers. It is sent
+// when that changes, on a new link, and at intervals while they are lost.
+type LinksState struct {
+	CutOff bool
 }
 
 // ZoneLoads reports how many requests of all instances of a zone are in flight on each
@@ -247,6 +254,7 @@
 func (LayersHeld) isMessage()          {}
 func (LayersOrdered) isMessage()       {}
 func (StageLoads) isMessage()          {}
+func (LinksState) isMessage()          {}
 func (ZoneLoads) isMessage()           {}
 func (StageObserved) isMessage()       {}
 func (Slowdown) isMessage()            {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -107,6 +107,7 @@
 	Loads   map[string]int          `cbor:"1,keyasint"`
 	Retries map[string]wireSpending `cbor:"2,keyasint,omitempty"`
 	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
+	CutOff  bool                    `cbor:"4,keyasint,omitempty"`
 }
 
 type wireLimit struct {
@@ -172,4 +173,5 @@
 	ZoneLoads           *wireZoneLoads           `cbor:"22,keyasint,omitempty"`
 	StageObserved       *wireStageObserved       `cbor:"23,keyasint,omitempty"`
 	PoisonEvidence      *wirePoisonEvidence      `cbor:"24,keyasint,omitempty"`
+	LinksCutOff         *bool                    `cbor:"25,keyasint,omitempty"`
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -26,6 +26,8 @@
 	discardTimeout = 300 * time.Millisecond
 	// writeMargin is how long after a request's deadline its response may still be written.
 	writeMargin = time.Second
+	// idleCheckInterval is the interval at which WaitUntilIdle checks.
+	idleCheckInterval = 10 * time.Millisecond
 	// busyRetryAfter is the time to come back after too many requests.
 	busyRetryAfter = 200 * time.Millisecond
 )
@@ -146,6 +148,20 @@
 	return h.requests
 }
 
+// WaitUntilIdle waits until no relayed request is served, at most until ctx ends.
+func (h *Handler) WaitUntilIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idleCheckInterval)
+	defer ticker.Stop()
+	for h.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // read reads and decodes a request.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, now time.Time, limit int64) (Request, *refusal) {
 	data, err := readBody(w, r, now.Add(readTimeout))
