--- a/internal/gateway/breakcause.go
+++ b/internal/gateway/breakcause.go
@@ -17,6 +17,7 @@
 	brokenByRejection breakCause = "rejected"      // the backend server did not execute the request
 	brokenByResponse  breakCause = "response"      // the response can't be forwarded
 	brokenByClient    breakCause = "client-writes" // nothing can be written to the client
+	brokenByPeer      breakCause = "peer"          // the instance to which the request was relayed
 )
 
 // breakCauseOf returns why an attempt was broken that ended with an error. left reports
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -66,14 +66,18 @@
 func (g *Gateway) serveBuffered(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	b := &bufferedRequest{gateway: g, call: c, tried: map[deployment.BackendID]bool{}}
+	b := newBufferedRequest(g, c)
 	switch result := b.run(ctx).(type) {
 	case responded:
+		copyResponseHeader(w.Header(), result.header)
+		c.markAnswered(w.Header(), b.servers)
 		g.writeResponse(w, c, result)
 	case notRun:
 		g.respondError(w, c, notRunResponse(result.cause))
 	case unknown:
-		g.respondError(w, c, unknownOutcomeResponse(ctx, result.cause))
+		response := unknownOutcomeResponse(ctx, result.cause)
+		response.ran = b.servers
+		g.respondError(w, c, response)
 	}
 }
 
@@ -90,7 +94,6 @@
 }
 
 func (g *Gateway) writeResponse(w http.ResponseWriter, c *call, response responded) {
-	copyResponseHeader(w.Header(), response.header)
 	w.WriteHeader(response.status)
 	_, err := w.Write(response.body)
 	g.logEnd(c, response.status, "answered", zap.NamedError("write", err))
@@ -105,13 +108,16 @@
 	ran     int     // attempts that ran or may have run
 	best    outcome // returned if no better one follows (see record)
 	// next is reserved in place of the server of the last attempt, nil if none is.
-	next *bufferedReservation
+	next    *bufferedReservation
+	servers []deployment.BackendID // that may have run the request
+	arrived bool                   // a backend server has got the request
 }
 
 // bufferedReservation is a backend server that is reserved for an attempt.
 type bufferedReservation struct {
 	inFlight   *backend.InFlightRequest
 	connection *backend.Connection // nil if none was opened yet
+	retry      bool                // a retry was taken from the budget for it
 }
 
 var errNoBackend = errors.New("no backend server is available for the service")
@@ -122,6 +128,12 @@
 	b.best = notRun{cause: errNoBackend}
 	defer b.releaseNext()
 	for range maxBufferedAttempts {
+		if b.next == nil && b.gateway.mustRelay(time.Now(), b.call) {
+			if !b.relay(ctx) {
+				return b.best
+			}
+			continue
+		}
 		reserved, err := b.takeNext(ctx)
 		if err != nil {
 			b.record(notRun{cause: err})
@@ -132,6 +144,7 @@
 		}
 		b.tried[reserved.inFlight.Backend.ID] = true
 		result := b.attempt(ctx, reserved)
+		b.recordServer(reserved.inFlight.Backend.ID, result)
 		b.record(result)
 		if !b.shouldRetry(result) {
 			return b.best
@@ -161,12 +174,16 @@
 type picker func(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*backend.InFlightRequest, bool)
 
 // reserve chooses a backend server for the next attempt. It returns nil without one, or without
-// the retry budget. The error is a *heldBackError or a *limitReachedError.
+// the retry budget. The error is a *heldBackError, errCutOff or a
+// *limitReachedError.
 func (b *bufferedRequest) reserve(now time.Time, pick picker) (*bufferedReservation, error) {
 	if err := b.gateway.ends.admit(now, b.call); err != nil {
 		return nil, err
 	}
-	retry := b.call.attempts > 0
+	if b.gateway.unreachable(now, b.call) {
+		return nil, errCutOff
+	}
+	retry := b.arrived
 	budget := b.gateway.budget(b.call.service.Name)
 	if retry && !budget.CanTake(now, false) {
 		return nil, nil
@@ -182,12 +199,13 @@
 		inFlight.Done(now, backend.Inconclusive)
 		return nil, nil
 	}
-	return &bufferedReservation{inFlight: inFlight}, nil
+	return &bufferedReservation{inFlight: inFlight, retry: retry}, nil
 }
 
 // reserveConnected reserves an available backend server in place of one that is slow, and opens
 // a connection to it. It returns nil without one.
 func (b *bufferedRequest) reserveConnected(ctx context.Context) *bufferedReservation {
+	b.arrived = true // as far as is known of the attempt in flight
 	// Without another backend server the attempt goes on: its server may only be slow.
 	reserved, _ := b.reserve(time.Now(), b.gateway.Fleet.PickAvailable)
 	if reserved == nil {
@@ -218,10 +236,12 @@
 	b.giveBack(b.next, backend.Inconclusive)
 }
 
-// giveBack gives a reservation for a retry back that was not used.
+// giveBack gives a reservation back that was not used.
 func (b *bufferedRequest) giveBack(reserved *bufferedReservation, result backend.Result) {
 	reserved.inFlight.Done(time.Now(), result)
-	b.gateway.budget(b.call.service.Name).GiveBack()
+	if reserved.retry {
+		b.gateway.budget(b.call.service.Name).GiveBack()
+	}
 }
 
 // leaveSlowAttempt cancels an attempt that takes too long once another backend server is
@@ -237,7 +257,8 @@
 	go func() {
 		defer close(done)
 		for wait := timeout; b.sleep(ctx, wait); wait = nextServerInterval {
-			if b.next = b.reserveConnected(ctx); b.next != nil {
+			b.next = b.reserveConnected(ctx)
+			if b.next != nil || b.peerMayServe(time.Now()) {
 				cancel()
 				return
 			}
--- /dev/null
+++ b/internal/gateway/bufferedrelay.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
+)
+
+func newBufferedRequest(g *Gateway, c *call) *bufferedRequest {
+	b := &bufferedRequest{gateway: g, call: c, tried: map[deployment.BackendID]bool{}}
+	if c.relayed == nil {
+		return b
+	}
+	b.servers = append(b.servers, c.relayed.ran...)
+	b.ran = len(b.servers)
+	for _, id := range b.servers {
+		b.tried[id] = true
+	}
+	return b
+}
+
+// recordServer records a backend server that has got the request, and may have run it.
+func (b *bufferedRequest) recordServer(id deployment.BackendID, result outcome) {
+	rejected, notRan := result.(notRun)
+	b.arrived = b.arrived || !notRan || errors.Is(rejected.cause, errNotExecuted)
+	if !notRan {
+		b.servers = append(b.servers, id)
+	}
+}
+
+// peerMayServe reports whether an attempt is to be left since only a peer can serve the request.
+func (b *bufferedRequest) peerMayServe(now time.Time) bool {
+	return b.gateway.mustRelay(now, b.call) && b.gateway.Peers.Reaching(now)
+}
+
+// relay lets a peer serve the request, since this instance does not reach the servers. It
+// reports whether the request may be sent once more.
+func (b *bufferedRequest) relay(ctx context.Context) bool {
+	if err := b.gateway.ends.admit(time.Now(), b.call); err != nil {
+		b.record(notRun{cause: err})
+		return false
+	}
+	b.call.attempts++
+	answer, err := b.gateway.offer(ctx, &relayOffer{call: b.call, repeat: b.arrived, ran: b.servers})
+	result := b.relayOutcome(answer, err)
+	b.record(result)
+	if _, refused := result.(notRun); refused {
+		return !b.gateway.mustRelay(time.Now(), b.call) // the servers are within reach again
+	}
+	b.arrived = true
+	return b.shouldRetry(result)
+}
+
+// relayOutcome returns the outcome of a relayed request, after its whole response.
+func (b *bufferedRequest) relayOutcome(answer *relayedAnswer, err error) outcome {
+	var unknownOutcome *relayUnknownError
+	switch {
+	case errors.As(err, &unknownOutcome):
+		b.recordRelayed(unknownOutcome.ran)
+		return unknown{cause: err}
+	case err != nil:
+		return notRun{cause: err}
+	}
+	defer answer.close()
+	b.recordRelayed(answer.Ran)
+	body, err := io.ReadAll(io.LimitReader(answer.Response.Body, maxResponseSize+1))
+	if err == nil {
+		err = validateResponse(&http.Response{StatusCode: answer.Response.Status, Header: answer.Response.Header}, len(body))
+	}
+	if err != nil {
+		return unknown{cause: err}
+	}
+	return responded{status: answer.Response.Status, header: answer.Response.Header, body: body}
+}
+
+// recordRelayed records the servers that may have run the request at a peer, the last of which
+// is counted with the outcome.
+func (b *bufferedRequest) recordRelayed(ran []deployment.BackendID) {
+	known := len(b.servers)
+	for _, id := range ran {
+		if !b.tried[id] {
+			b.tried[id] = true
+			b.servers = append(b.servers, id)
+		}
+	}
+	b.ran += max(0, len(b.servers)-known-1)
+}
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -22,6 +23,7 @@
 	code       string
 	retryAfter time.Duration // 0 for no Retry-After: a retry doesn't help, or might run the request twice
 	cause      error
+	ran        []deployment.BackendID // servers that may have run the request, told to peers only
 }
 
 // notRunResponse returns the error response for a request that has not run.
@@ -41,7 +43,11 @@
 	if e.retryAfter > 0 {
 		header.Set(platform.HeaderRetryAfter, platform.FormatRetryAfter(e.retryAfter))
 	}
-	http.Error(w, e.code, e.status)
+	if c.relayed != nil {
+		respondToPeer(w, &e)
+	} else {
+		http.Error(w, e.code, e.status)
+	}
 	g.logEnd(c, e.status, e.code, zap.NamedError("cause", e.cause))
 	g.Metrics.countFailure(e.code)
 }
@@ -56,5 +62,8 @@
 	if c.decision.Route != nil {
 		fields = append(fields, zap.String("route", string(c.decision.Route.Name)), zap.String("team", string(c.decision.Team)))
 	}
+	if c.relayed != nil {
+		fields = append(fields, zap.String("relayed-from", string(c.relayed.instance)))
+	}
 	g.Logger.Info("request ended", append(fields, more...)...)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/poison"
+	"mulberryhead.org/mulberryhead/internal/relay"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
@@ -44,6 +45,12 @@
 	Dial          platform.DialFunc // opens connections to backend servers
 	Metrics       *Metrics
 	Logger        *zap.Logger
+	// Links decides whether this instance reaches the backend servers, and Peers knows those
+	// that serve requests in its place. Both may be nil, and then none is relayed.
+	Links *backend.Links
+	Peers *relay.SharedDirectory
+	// Leaving reports whether this instance is shutting down.
+	Leaving func() bool
 	// OnPoisonEvidence is called with what is new about ends of backend servers.
 	OnPoisonEvidence func(evidence poison.Evidence)
 	// OnSlowdownMeasured is called with each slowdown factor that a slowdown probe of
@@ -56,9 +63,10 @@
 // Gateway is the HTTP handler that serves clients.
 type Gateway struct {
 	Config
-	transport *backend.Transport
-	monitor   *streamMonitor
-	ends      *endWatch
+	transport   *backend.Transport
+	relayClient *relay.Client
+	monitor     *streamMonitor
+	ends        *endWatch
 
 	mu          sync.Mutex
 	services    map[deployment.ServiceName]*serviceState
@@ -82,6 +90,7 @@
 	g := &Gateway{
 		Config:      config,
 		transport:   transport,
+		relayClient: relay.NewClient(backend.NewTransport(platform.Dialer(0, platform.BackendSilence).DialContext)),
 		monitor:     newStreamMonitor(config, ends),
 		ends:        ends,
 		services:    map[deployment.ServiceName]*serviceState{},
@@ -90,7 +99,7 @@
 		peerRetries: map[deployment.InstanceID]peerRetries{},
 		started:     time.Now(),
 	}
-	g.monitor.acquire = g.acquireConnected
+	g.monitor.successor = g.successor
 	return g
 }
 
@@ -156,7 +165,8 @@
 	// endedServer is set once a backend server has ended during an attempt that had not
 	// begun to be answered.
 	endedServer atomic.Bool
-	trial       bool // sent although it is held
+	trial       bool         // sent although it is held
+	relayed     *relayedFrom // nil unless a peer has relayed the request to this instance
 }
 
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
@@ -176,6 +186,11 @@
 		return
 	}
 	g.budget(c.service.Name).RecordRequest(now)
+	g.serveAdmitted(w, r, c)
+}
+
+// serveAdmitted serves a request that was routed.
+func (g *Gateway) serveAdmitted(w http.ResponseWriter, r *http.Request, c *call) {
 	if c.service.Engine != nil && c.decision.Route.Kind == deployment.Streaming {
 		g.serveStream(w, r, c)
 		return
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,10 +58,16 @@
 }
 
 func (m *Metrics) observeFirstEvent(c *call, now time.Time) {
+	if c.relayed != nil {
+		return // the instance of the client observes it
+	}
 	m.firstEvents.WithLabelValues(c.decision.Route.Kind.String(), teamLabel(c)).Observe(now.Sub(c.started).Seconds())
 }
 
 func (m *Metrics) observeResponse(c *call, now time.Time) {
+	if c.relayed != nil {
+		return
+	}
 	m.responses.WithLabelValues(c.decision.Route.Kind.String(), teamLabel(c)).Observe(now.Sub(c.started).Seconds())
 }
 
--- a/internal/gateway/observations.go
+++ b/internal/gateway/observations.go
@@ -17,13 +17,11 @@
 	return fresh
 }
 
-// markUnconnected keeps a stage to which no connection could be opened out of new paths, and
-// tells the others of it if that is new. It reports whether it is.
+// markUnconnected keeps a stage out of new paths to which no connection could be opened. The
+// others are told only once connections to other servers work (see backend.Links). It reports
+// whether the link was not suspected before.
 func (c *Config) markUnconnected(now time.Time, address deployment.Address) bool {
-	id, fresh := c.Fleet.MarkLinkSuspect(now, address)
-	if fresh {
-		c.OnObservation(id, backend.StageSuspected)
-	}
+	_, fresh := c.Fleet.MarkLinkSuspect(now, address)
 	return fresh
 }
 
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -19,8 +19,16 @@
 	// ran are the first stages that ran the request or may have run it.
 	ran map[deployment.BackendID]bool
 	// resumed is set if the client has a part of the response.
-	resumed  bool
-	attempts int // of the stream so far
+	resumed bool
+	// fixed is set if only a first stage in ran may be chosen.
+	fixed   bool
+	arrived bool // a backend server has got the request
+	// avoid is a peer to which it must not be relayed, empty for none.
+	avoid deployment.InstanceID
+	// lastEventID is that of the last event which the client has, if hasLastEventID is set.
+	lastEventID    int64
+	hasLastEventID bool
+	attempts       int // of the stream so far
 	// needed reports whether a stream in flight still needs another path, nil for one that is
 	// not in flight.
 	needed func() bool
@@ -49,8 +57,8 @@
 var errPathResponds = errors.New("the stages of the path respond again")
 
 // ready implements reserver: the error is a *heldBackError if the stream is held back, and
-// errPathResponds if it needs no other path. The first attempt needs no retry budget, later
-// ones do.
+// errPathResponds if it needs no other path, errCutOff if the servers can't be reached from
+// here. Once a backend server has got the request, another attempt needs the retry budget.
 func (p *pathRequest) ready(now time.Time) error {
 	if p.needed != nil && !p.needed() {
 		return errPathResponds
@@ -58,7 +66,10 @@
 	if err := p.gateway.ends.admit(now, p.call); err != nil {
 		return err
 	}
-	if p.attempts == 0 || p.gateway.budget(p.call.service.Name).CanTake(now, p.resumed) {
+	if p.gateway.unreachable(now, p.call) {
+		return errCutOff
+	}
+	if !p.arrived || p.gateway.budget(p.call.service.Name).CanTake(now, p.resumed) {
 		return nil
 	}
 	return errBudgetSpent
@@ -70,7 +81,7 @@
 	if err != nil {
 		return reservation{}, err
 	}
-	retry := p.attempts > 0
+	retry := p.arrived
 	budget := p.gateway.budget(p.call.service.Name)
 	if retry && !budget.Take(now, p.resumed) {
 		return reservation{}, errBudgetSpent
@@ -107,7 +118,9 @@
 
 // restricted implements reserver: it reports whether the stream must begin at a first stage
 // that may have run it.
-func (p *pathRequest) restricted() bool { return len(p.ran) >= p.call.decision.Route.MaxAttempts }
+func (p *pathRequest) restricted() bool {
+	return p.fixed || len(p.ran) >= p.call.decision.Route.MaxAttempts
+}
 
 func (p *pathRequest) allowedStages(stages []pipeline.Stage) []pipeline.Stage {
 	var allowed []pipeline.Stage
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -80,7 +80,7 @@
 
 // turnedAway reports whether a request does not wait after an error of ready.
 func turnedAway(err error) bool {
-	return heldBackOf(err) != nil || errors.Is(err, errPathResponds)
+	return heldBackOf(err) != nil || errors.Is(err, errPathResponds) || errors.Is(err, errCutOff)
 }
 
 // acquire waits for a reservation. The error is a *noCapacityError, one for which turnedAway
--- /dev/null
+++ b/internal/gateway/relaying_test.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/backend"
+	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/poison"
+	"mulberryhead.org/mulberryhead/internal/relay"
+	"mulberryhead.org/mulberryhead/internal/routing"
+	"mulberryhead.org/mulberryhead/platform"
+)
+
+// relayDeployment is a deployment of two instances, origin and peer. Its backend servers run
+// serve.
+type relayDeployment struct {
+	t        *testing.T
+	runs     atomic.Int64
+	canceled chan struct{} // gets an element for each request whose caller has left
+	servers  []deployment.Backend
+	origin   *Gateway
+	peer     *Gateway
+	front    *httptest.Server // of origin
+}
+
+// relayVersions are the versions of the configurations of the instances.
+type relayVersions struct{ origin, peer deployment.Version }
+
+func newRelayDeployment(t *testing.T, versions relayVersions) *relayDeployment {
+	d := &relayDeployment{t: t, canceled: make(chan struct{}, 16)}
+	for i := range 3 {
+		server := httptest.NewServer(http.HandlerFunc(d.serve))
+		t.Cleanup(server.Close)
+		d.servers = append(d.servers, deployment.Backend{
+			ID: deployment.BackendID(fmt.Sprintf("i-%d", i)), Service: "plain", Zone: deployment.Zone(fmt.Sprint("zone-", i)), Slots: 4,
+			Address: deployment.Address(server.Listener.Addr().String()),
+		})
+	}
+	model := d.servers[0]
+	model.ID, model.Service, model.Accelerator, model.Layers = "m-0", "model", "h100", deployment.LayerRange{End: 80}
+	server := httptest.NewServer(http.HandlerFunc(d.serve))
+	t.Cleanup(server.Close)
+	model.Address = deployment.Address(server.Listener.Addr().String())
+	d.servers = append(d.servers, model)
+	d.peer = d.newGateway("peer", versions.peer, platform.Dialer(0, platform.BackendSilence).DialContext)
+	d.origin = d.newGateway("origin", versions.origin, func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+	d.connect()
+	d.front = httptest.NewServer(d.origin)
+	t.Cleanup(d.front.Close)
+	return d
+}
+
+// serve runs a request as its path names.
+func (d *relayDeployment) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	assert.Check(d.t, err)
+	d.runs.Add(1)
+	w.Header().Set(platform.HeaderSignature, "signed-"+r.Header.Get(platform.HeaderRequestID))
+	w.Header().Set("X-Own", "kept")
+	switch r.URL.Path {
+	case "/any/fails":
+		w.WriteHeader(http.StatusConflict)
+	case "/once/breaks":
+		panic(http.ErrAbortHandler)
+	case "/any/waits":
+		<-r.Context().Done()
+		d.canceled <- struct{}{}
+		return
+	case "/stream/breaks":
+		_, _ = io.WriteString(w, eventText(1))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "/stream/whole":
+		for event := 1; event <= streamEvents; event++ {
+			_, err := io.WriteString(w, eventText(event))
+			assert.Check(d.t, err)
+			assert.Check(d.t, http.NewResponseController(w).Flush())
+		}
+		return
+	}
+	_, _ = io.WriteString(w, "done:"+r.Host+r.URL.RequestURI()+":"+string(body))
+}
+
+func relayConfiguration(version deployment.Version) deployment.Configuration {
+	route := func(name, prefix string, kind deployment.RequestKind, service deployment.ServiceName) deployment.Route {
+		return deployment.Route{
+			Name: deployment.RouteName(name), Host: "h", PathPrefix: prefix, Timeout: time.Minute, Kind: kind, MaxAttempts: 1, Public: true,
+			TargetLatency: 100 * time.Millisecond, Targets: []deployment.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	return deployment.Configuration{
+		Version:  version,
+		Services: []deployment.Service{{Name: "plain"}, {Name: "model", Engine: &deployment.Engine{Layers: 80}}},
+		Routes: []deployment.Route{
+			route("any", "/any/", deployment.Idempotent, "plain"), route("once", "/once/", deployment.NonIdempotent, "plain"),
+			route("stream", "/stream/", deployment.Streaming, "model"),
+		},
+	}
+}
+
+func (d *relayDeployment) newGateway(id deployment.InstanceID, version deployment.Version, dial platform.DialFunc) *Gateway {
+	var table routing.ActiveTable
+	if version > 0 {
+		table.UpdateIfNewer(relayConfiguration(version))
+	}
+	fleet := backend.NewFleet("zone-0")
+	fleet.Replace(time.Now(), d.servers)
+	links := backend.NewLinks(backend.LinksConfig{
+		Fleet: fleet, Dial: dial, Logger: zap.NewNop(), OnCutOff: func(deployment.ServiceName, bool) {}, OnLinkDown: func(deployment.Address) {},
+	})
+	links.Step(time.Now())
+	settings := deployment.Settings{Instance: id, Zone: "zone-0", RetryRatio: 1, RetryReserve: 1000, RetryWindow: time.Second}
+	return New(Config{
+		Settings: settings, RoutingTable: &table, Fleet: fleet, Dial: links.Dial, Links: links, Peers: relay.NewSharedDirectory(id),
+		Leaving: func() bool { return false }, Logger: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		OnObservation: func(deployment.BackendID, backend.Observation) {}, OnPoisonEvidence: func(poison.Evidence) {},
+	})
+}
+
+// connect makes the peer known to origin.
+func (d *relayDeployment) connect() {
+	key := relay.NewKey()
+	handler := relay.NewHandler(relay.HandlerConfig{Self: "peer", Key: key, BodyLimit: func() int64 { return 0 }, Server: d.peer, Logger: zap.NewNop()})
+	server := httptest.NewServer(handler)
+	d.t.Cleanup(server.Close)
+	d.origin.Peers.SetPeers([]relay.Peer{{ID: "peer", Zone: "zone-0", Address: deployment.Address(server.Listener.Addr().String()), Key: key}})
+}
+
+// send sends a request to origin and reads the whole response.
+func (d *relayDeployment) send(method, path string) (*http.Response, string, error) {
+	d.t.Helper()
+	request, err := http.NewRequest(method, d.front.URL+path, strings.NewReader("body"))
+	assert.NilError(d.t, err)
+	request.Host = "h"
+	request.Header.Set(platform.HeaderRequestID, "r-1")
+	request.Header.Set(platform.HeaderDeadline, "20000")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(d.t, err)
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(d.t, response.Body.Close())
+	return response, string(data), err
+}
+
+// TestRelayedAnswersAreTheServers guards against answers that change on the way through a peer.
+func TestRelayedAnswersAreTheServers(t *testing.T) {
+	d := newRelayDeployment(t, relayVersions{origin: 2, peer: 2})
+	cases := []struct {
+		method, path, body string
+		status             int
+	}{
+		{http.MethodGet, "/any/x?q=1%2F2", "done:h/any/x?q=1%2F2:body", http.StatusOK},
+		{http.MethodPost, "/once/x", "done:h/once/x:body", http.StatusOK},
+		{http.MethodGet, "/any/fails", "done:h/any/fails:body", http.StatusConflict},
+		{http.MethodPost, "/stream/whole", eventText(1) + eventText(2) + eventText(3), http.StatusOK},
+	}
+	for _, c := range cases {
+		before := d.runs.Load()
+		response, body, err := d.send(c.method, c.path)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, c.status, c.path)
+		assert.Equal(t, body, c.body)
+		assert.Equal(t, response.Header.Get(platform.HeaderSignature), "signed-r-1")
+		assert.Equal(t, response.Header.Get("X-Own"), "kept")
+		for name := range response.Header {
+			assert.Assert(t, !strings.Contains(strings.ToLower(name), "relay"), name)
+		}
+		assert.Equal(t, d.runs.Load()-before, int64(1), c.path)
+	}
+}
+
+// TestRelayedOutcomeStaysUnknown guards against a request that ran at a peer and is reported as
+// not run, or runs again.
+func TestRelayedOutcomeStaysUnknown(t *testing.T) {
+	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
+	response, _, err := d.send(http.MethodPost, "/once/breaks")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, response.Header.Get(platform.HeaderRetryAfter), "")
+	assert.Equal(t, d.runs.Load(), int64(1))
+}
+
+// TestRelayedStreamIsBrokenOff guards against a truncated answer that looks whole.
+func TestRelayedStreamIsBrokenOff(t *testing.T) {
+	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
+	_, body, err := d.send(http.MethodPost, "/stream/breaks")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Equal(t, body, eventText(1))
+	assert.Equal(t, d.runs.Load(), int64(1))
+}
+
+// TestRefusedRelayIsRejectedWithATime guards against a request that no peer takes and that runs,
+// waits or gets no time to come back.
+func TestRefusedRelayIsRejectedWithATime(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(d *relayDeployment)
+		peer   deployment.Version
+	}{
+		{"older configuration", func(*relayDeployment) {}, 1},
+		{"no configuration", func(*relayDeployment) {}, 0},
+		{"leaving", func(d *relayDeployment) { d.peer.Leaving = func() bool { return true } }, 2},
+		{"cut off too", func(d *relayDeployment) { d.peer.Links, d.peer.Dial = d.origin.Links, d.origin.Dial }, 2},
+		{"unknown", func(d *relayDeployment) { d.origin.Peers.SetPeers(nil) }, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newRelayDeployment(t, relayVersions{origin: 2, peer: c.peer})
+			c.change(d)
+			for _, path := range []string{"/any/x", "/stream/whole"} {
+				response, _, err := d.send(http.MethodPost, path)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				assert.Assert(t, response.Header.Get(platform.HeaderRetryAfter) != "")
+			}
+			assert.Equal(t, d.runs.Load(), int64(0))
+		})
+	}
+}
+
+// TestClientOfRelayedRequestLeaves guards against a backend server that works on for a client
+// that has left.
+func TestClientOfRelayedRequestLeaves(t *testing.T) {
+	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, d.front.URL+"/any/waits", nil)
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set(platform.HeaderRequestID, "r-1")
+	done := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			err = errors.Join(response.Body.Close(), errors.New("answered"))
+		}
+		done <- err
+	}()
+	for d.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	assert.ErrorIs(t, <-done, context.Canceled)
+	<-d.canceled
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -179,7 +179,7 @@
 	s := &stream{gateway: g, call: c, ran: map[deployment.BackendID]bool{"i-1": true}, lastEventAt: time.Now(), next: &next}
 	b := &bufferedRequest{gateway: g, call: c, next: &bufferedReservation{inFlight: testReservation(t, fleet, time.Now()).inFlight}}
 	holdRequest(g, c)
-	_, err := s.reserveNext(context.Background())
+	_, err := s.takeNext()
 	assert.Assert(t, heldBackOf(err) != nil, "%v", err)
 	_, err = b.takeNext(context.Background())
 	assert.Assert(t, heldBackOf(err) != nil, "%v", err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,9 +47,10 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 
-	// mu guards ran, headerWritten, lastEventAt and the attempts of the call, which only the
-	// goroutine of the request changes, against the search for another path.
+	// mu guards the fields that the search for another path reads (see pathRequest). Only the
+	// goroutine of the request changes them.
 	mu             sync.Mutex
+	arrived        bool                          // a backend server has got the request
 	ran            map[deployment.BackendID]bool // first stages that ran the request or may have run it
 	lastEventID    int64                         // last event that was written to the client, or that its request named
 	hasLastEventID bool
@@ -61,7 +62,7 @@
 	longestPause     time.Duration // between two events
 	notRunCause      error         // why no attempt has run, nil once one may have
 	brokenBy         breakCause    // of the last attempt
-	next             *reservation  // for which the last attempt was left, nil if none
+	next             pathSuccessor // for which the last attempt was left, nil if none
 }
 
 // streamOutcome is how a stream ended for the client.
@@ -82,9 +83,14 @@
 		gateway: g, call: c, writer: w, flusher: http.NewResponseController(w),
 		ran: map[deployment.BackendID]bool{}, lastEventAt: c.started, brokenBy: neverBroken,
 	}
-	if id, err := strconv.ParseInt(r.Header.Get(platform.HeaderLastEventID), 10, 64); err == nil {
+	if id, err := strconv.ParseInt(c.request.Header.Get(platform.HeaderLastEventID), 10, 64); err == nil {
 		s.lastEventID, s.hasLastEventID = id, true
 	}
+	if c.relayed != nil {
+		for _, id := range c.relayed.ran {
+			s.ran[id] = true
+		}
+	}
 	outcome, cause := s.run(ctx)
 	s.finish(ctx, outcome, cause)
 }
@@ -107,7 +113,9 @@
 	case streamNotRun:
 		g.respondError(s.writer, c, notRunResponse(cause))
 	case streamUnknown:
-		g.respondError(s.writer, c, unknownOutcomeResponse(ctx, cause))
+		response := unknownOutcomeResponse(ctx, cause)
+		response.ran = s.ranServers()
+		g.respondError(s.writer, c, response)
 	}
 }
 
@@ -125,6 +133,14 @@
 	if errors.As(cause, &noCapacity) {
 		return noCapacity.retryAfter
 	}
+	var noPeer *noPeerError
+	if errors.As(cause, &noPeer) {
+		return noPeer.retryAfter
+	}
+	var refused *refusedError
+	if errors.As(cause, &refused) && refused.RetryAfter > 0 {
+		return refused.RetryAfter
+	}
 	var limitReached *limitReachedError
 	if errors.As(cause, &limitReached) {
 		return limitReached.retryAfter
@@ -137,11 +153,7 @@
 	s.notRunCause = errNoPath
 	defer s.releaseNext()
 	for {
-		reserved, err := s.reserveNext(ctx)
-		if err != nil {
-			return s.failed(err)
-		}
-		outcome, err := s.attempt(ctx, reserved)
+		outcome, err := s.attemptNext(ctx)
 		if err == nil {
 			return outcome, nil
 		}
@@ -151,22 +163,55 @@
 	}
 }
 
-// reserveNext returns the path for which the last attempt was left, or else waits for one.
-func (s *stream) reserveNext(ctx context.Context) (reservation, error) {
+// attemptNext makes the next attempt: along the path for which the last one was left, or else at
+// a peer if the servers can't be reached from here, or else along a path for which it waits.
+func (s *stream) attemptNext(ctx context.Context) (streamOutcome, error) {
+	next, err := s.takeNext()
+	if err != nil {
+		return 0, &unreservedError{cause: err}
+	}
+	switch next := next.(type) {
+	case *reservation:
+		return s.attempt(ctx, *next)
+	case *relayedAnswer:
+		return s.followPeer(ctx, next)
+	}
+	if s.gateway.mustRelay(time.Now(), s.call) {
+		return s.relay(ctx)
+	}
+	request := s.pathRequest()
+	reserved, err := s.gateway.queue(s.call.service.Name).acquire(ctx, request.admissionRequest(), &request)
+	if err != nil {
+		return 0, &unreservedError{cause: err}
+	}
+	return s.attempt(ctx, reserved)
+}
+
+// unreservedError reports that there was no path for an attempt, which was not made.
+type unreservedError struct{ cause error }
+
+func (e *unreservedError) Error() string { return e.cause.Error() }
+
+func (e *unreservedError) Unwrap() error { return e.cause }
+
+// takeNext returns what the last attempt was left for, nil if there is nothing or it is of no
+// use any more. The error is a *heldBackError.
+func (s *stream) takeNext() (pathSuccessor, error) {
 	next := s.next
 	s.next = nil
-	if next != nil && s.gateway.Fleet.Listed(next.path) {
-		if err := s.gateway.ends.admit(time.Now(), s.call); err != nil {
-			next.release(time.Now())
-			return reservation{}, err
-		}
-		return *next, nil
+	if next == nil {
+		return nil, nil
 	}
-	if next != nil {
-		next.release(time.Now())
+	now := time.Now()
+	if err := s.gateway.ends.admit(now, s.call); err != nil {
+		next.release(now)
+		return nil, err
 	}
-	request := s.pathRequest()
-	return s.gateway.queue(s.call.service.Name).acquire(ctx, request.admissionRequest(), &request)
+	if reserved, ok := next.(*reservation); ok && !s.gateway.Fleet.Listed(reserved.path) {
+		next.release(now)
+		return nil, nil
+	}
+	return next, nil
 }
 
 // releaseNext gives a path back that the stream no longer needs.
@@ -189,7 +234,7 @@
 
 // shouldRetry reports whether to retry a stream that was rejected or broke off.
 func (s *stream) shouldRetry(ctx context.Context, cause error) bool {
-	if ctx.Err() != nil || errors.Is(cause, errWrite) || s.call.attempts >= maxStreamAttempts {
+	if ctx.Err() != nil || errors.Is(cause, errWrite) || s.call.attempts >= maxStreamAttempts || !s.mayTryAgain(cause) {
 		return false
 	}
 	if s.notRunCause != nil {
@@ -198,6 +243,24 @@
 	return s.call.decision.Route.Resumable
 }
 
+// mayTryAgain reports whether another attempt may have another result. Without a path there is
+// none, unless the servers have come to be out of reach and a peer may take the request, or are
+// within reach again.
+func (s *stream) mayTryAgain(cause error) bool {
+	var unreserved *unreservedError
+	var noPeer *noPeerError
+	var refused *refusedError
+	switch {
+	case heldBackOf(cause) != nil, errors.As(cause, &refused) && refused.final():
+		return false
+	case errors.As(cause, &unreserved):
+		return errors.Is(cause, errCutOff) && s.call.relayed == nil
+	case errors.As(cause, &noPeer):
+		return !s.gateway.mustRelay(time.Now(), s.call)
+	}
+	return true
+}
+
 // eventTimeout returns how long after the last event, or the arrival of the request, the
 // next attempt must start: 0.9 of the time that the client is assumed to wait.
 func eventTimeout(route *deployment.Route) time.Duration {
@@ -209,7 +272,15 @@
 func (s *stream) pathRequest() pathRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return pathRequest{gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, attempts: s.call.attempts, lastEventAt: s.lastEventAt}
+	request := pathRequest{
+		gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, fixed: s.headerWritten && s.call.relayed != nil,
+		arrived: s.arrived, attempts: s.call.attempts,
+		lastEventID: s.lastEventID, hasLastEventID: s.hasLastEventID, lastEventAt: s.lastEventAt,
+	}
+	if s.call.relayed != nil {
+		request.resumed = request.resumed || s.call.relayed.resumed
+	}
+	return request
 }
 
 // timingFields returns the log fields on the stream's delays.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,7 +19,7 @@
 	"mulberryhead.org/mulberryhead/platform"
 )
 
-// attempt sends the request along a path and relays the response. The error is nil if a
+// attempt sends the request along a path and forwards the response. The error is nil if a
 // complete response was written to the client.
 func (s *stream) attempt(ctx context.Context, reserved reservation) (streamOutcome, error) {
 	path := reserved.path
@@ -90,6 +91,7 @@
 func (f *streamInFlight) nextPath() (pathRequest, bool) {
 	request := f.stream.pathRequest()
 	request.ran[f.first] = true
+	request.arrived = true
 	return request, request.attempts < maxStreamAttempts
 }
 
@@ -148,7 +150,7 @@
 	var notSent *backend.NotSentError
 	if errors.As(err, &notSent) {
 		s.recordNotRun(err)
-		if ctx.Err() == nil { // otherwise the attempt was canceled while connecting, which says nothing of the stage
+		if ctx.Err() == nil && !errors.Is(err, backend.ErrCutOff) { // otherwise the attempt was canceled while connecting, which says nothing of the stage
 			s.gateway.markUnconnected(time.Now(), path.Hops[0].Address)
 		}
 		return
@@ -161,6 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ran[path.IDs[0]] = true
+	s.arrived = true
 }
 
 func (s *stream) recordNotRun(cause error) {
@@ -169,7 +172,7 @@
 	}
 }
 
-// handleResponse relays a backend server's response or records its rejection.
+// handleResponse forwards a backend server's response or records its rejection.
 func (s *stream) handleResponse(response *backend.Response, monitored *monitoredStream, sent time.Time) (streamOutcome, error) {
 	path := monitored.path()
 	if !backendReplaced(response.Response, path.IDs[0]) {
@@ -182,13 +185,44 @@
 	for _, id := range s.gateway.Fleet.RecordAccepted(path) {
 		s.gateway.OnObservation(id, backend.StageAccepted)
 	}
+	return s.forward(response, &attemptObserver{stream: s, monitored: monitored})
+}
+
+// forward forwards a backend server's response to the client.
+func (s *stream) forward(response *backend.Response, observer eventObserver) (streamOutcome, error) {
 	if err := validateResponse(response.Response, 0); err != nil {
 		return 0, err
 	}
 	if response.StatusCode != http.StatusOK {
 		return s.forwardErrorStatus(response)
 	}
-	return streamComplete, s.relayEvents(response, monitored)
+	return streamComplete, s.forwardEvents(response, observer)
+}
+
+// eventObserver observes the events of a stream.
+type eventObserver interface {
+	// observeEvent is called with the time of each event, before it is written.
+	observeEvent(now time.Time)
+}
+
+// attemptObserver observes the events of an attempt at backend servers.
+type attemptObserver struct {
+	stream    *stream
+	monitored *monitoredStream
+}
+
+// observeEvent implements eventObserver.
+func (o *attemptObserver) observeEvent(now time.Time) {
+	g := o.stream.gateway
+	if o.monitored.sinceLastEvent(now) >= stallThreshold {
+		g.Fleet.RecordResponsive(o.monitored.path())
+	}
+	watched := o.monitored.watched()
+	watched.recordEvent(now)
+	if o.monitored.recordEvent(now) {
+		g.ends.recordBegun(now, watched)
+		g.Fleet.RecordFirstEvent(now, o.monitored.path().IDs[0], now.Sub(o.monitored.sent))
+	}
 }
 
 // recordRejection records which stage rejected the request, and why.
@@ -209,6 +243,9 @@
 		s.gateway.markFull(now, address)
 	}
 	err := fmt.Errorf("%w: status %d at %s", errNotExecuted, response.StatusCode, address)
+	s.mu.Lock()
+	s.arrived = true
+	s.mu.Unlock()
 	s.recordNotRun(err)
 	return err
 }
@@ -224,6 +261,7 @@
 		return 0, fmt.Errorf("%w: status %d", errUnsigned, response.StatusCode)
 	}
 	copyResponseHeader(s.writer.Header(), response.Header)
+	s.call.markAnswered(s.writer.Header(), s.ranServers())
 	s.writer.WriteHeader(response.StatusCode)
 	if _, err := s.writer.Write(body); err != nil {
 		return 0, errors.Join(errWrite, err)
@@ -231,8 +269,8 @@
 	return streamErrorStatus, nil
 }
 
-// relayEvents relays events as they arrive until the stream ends cleanly.
-func (s *stream) relayEvents(response *backend.Response, monitored *monitoredStream) error {
+// forwardEvents forwards events as they arrive until the stream ends cleanly.
+func (s *stream) forwardEvents(response *backend.Response, observer eventObserver) error {
 	reader := newSSEReader(response.Body)
 	s.writeHeader(response)
 	for {
@@ -244,16 +282,8 @@
 			return err
 		}
 		s.recordEvent(time.Now())
-		if monitored.sinceLastEvent(s.lastEventAt) >= stallThreshold {
-			s.gateway.Fleet.RecordResponsive(monitored.path())
-		}
-		watched := monitored.watched()
-		watched.recordEvent(s.lastEventAt)
-		if monitored.recordEvent(s.lastEventAt) {
-			s.gateway.ends.recordBegun(s.lastEventAt, watched)
-			s.gateway.Fleet.RecordFirstEvent(s.lastEventAt, monitored.path().IDs[0], s.lastEventAt.Sub(monitored.sent))
-		}
-		if err := s.relayEvent(next, reader.hasCompleteEvent()); err != nil {
+		observer.observeEvent(s.lastEventAt)
+		if err := s.forwardEvent(next, reader.hasCompleteEvent()); err != nil {
 			return err
 		}
 	}
@@ -282,13 +312,19 @@
 	s.headerWritten = true
 	s.mu.Unlock()
 	copyResponseHeader(s.writer.Header(), response.Header)
+	s.call.markAnswered(s.writer.Header(), s.ranServers())
 	s.writer.WriteHeader(response.StatusCode)
 	s.gateway.Metrics.observeFirstEvent(s.call, time.Now())
 }
 
-// relayEvent sends an event to the client unless the client already has it. more
+// ranServers returns the first stages that may have run the request, sorted.
+func (s *stream) ranServers() []deployment.BackendID {
+	return slices.Sorted(maps.Keys(s.ran))
+}
+
+// forwardEvent sends an event to the client unless the client already has it. more
 // reports whether another complete event is buffered.
-func (s *stream) relayEvent(e sseEvent, more bool) error {
+func (s *stream) forwardEvent(e sseEvent, more bool) error {
 	if e.hasID {
 		if s.hasLastEventID && e.id <= s.lastEventID {
 			return nil
@@ -296,7 +332,9 @@
 		if s.hasLastEventID && e.id != s.lastEventID+1 {
 			return fmt.Errorf("%w: %d after %d", errEventOrder, e.id, s.lastEventID)
 		}
+		s.mu.Lock()
 		s.lastEventID, s.hasLastEventID = e.id, true
+		s.mu.Unlock()
 	}
 	if _, err := s.writer.Write(e.data); err != nil {
 		return errors.Join(errWrite, err)
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -48,7 +50,7 @@
 	ended     bool
 	source    resender           // nil if the stream must not be sent again
 	stopSeek  context.CancelFunc // nil while no other path is sought
-	successor *reservation       // for which the stream has left its path
+	successor pathSuccessor      // for which the stream has left its path
 }
 
 func (s *monitoredStream) watched() *watchedAttempt {
@@ -125,8 +127,8 @@
 type streamMonitor struct {
 	config Config
 	ends   *endWatch
-	// acquire waits for a path in the queue of the stream's service.
-	acquire func(ctx context.Context, request *pathRequest) (reservation, error)
+	// successor waits for a path in the queue of the stream's service, or for a peer's answer.
+	successor func(ctx context.Context, request *pathRequest) (pathSuccessor, error)
 
 	mu         sync.Mutex
 	streams    map[*monitoredStream]bool
@@ -169,6 +171,9 @@
 			return
 		case <-ticker.C:
 			now := time.Now()
+			if g.Links != nil {
+				g.Links.Step(now)
+			}
 			stalled, toProbe := g.monitor.scan(now)
 			for _, address := range toProbe {
 				go g.monitor.probeFirstStage(ctx, address)
@@ -306,9 +311,7 @@
 	report, err := m.config.BackendClient.Report(ctx, first)
 	now := time.Now()
 	if err != nil {
-		if m.config.markUnconnected(now, first) {
-			m.logSuspect(first, first, err)
-		}
+		m.suspectFirst(now, first, err)
 		return
 	}
 	for _, stalled := range report.Stalled {
@@ -316,6 +319,21 @@
 	}
 }
 
+// suspectFirst suspects a first stage whose report could not be fetched, or the link to it. The
+// others are not told: the connection may have failed, not the stage.
+func (m *streamMonitor) suspectFirst(now time.Time, first deployment.Address, cause error) {
+	var failed *net.OpError
+	var fresh bool
+	if errors.As(cause, &failed) && failed.Op == "dial" || errors.Is(cause, backend.ErrCutOff) || errors.Is(cause, backend.ErrLinkDown) {
+		fresh = m.config.markUnconnected(now, first)
+	} else {
+		_, fresh = m.config.Fleet.MarkSuspect(now, first)
+	}
+	if fresh {
+		m.logSuspect(first, first, cause)
+	}
+}
+
 func (m *streamMonitor) markSuspect(now time.Time, address, reportedBy deployment.Address, cause error) {
 	if m.config.markSuspect(now, address) {
 		m.logSuspect(address, reportedBy, cause)
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,8 +33,11 @@
 			return reserved, nil
 		}
 		reserved.release(time.Now())
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return reservation{}, ctx.Err()
+		case errors.Is(err, backend.ErrCutOff):
+			return reservation{}, errCutOff
 		}
 		g.markUnconnected(time.Now(), first)
 	}
@@ -54,7 +58,7 @@
 	if !stream.beginSeek(cancel) {
 		return
 	}
-	next, err := m.acquire(ctx, &request)
+	next, err := m.successor(ctx, &request)
 	if err != nil {
 		m.config.Logger.Debug("no other path", zap.String("request", stream.call.id), zap.Error(err))
 		return
@@ -99,13 +103,13 @@
 
 // leaveFor makes the stream leave its path for another one. It returns false if the stream has
 // ended or has got an event since a time, which leaves the reservation to the caller.
-func (s *monitoredStream) leaveFor(next reservation, since int64) bool {
+func (s *monitoredStream) leaveFor(next pathSuccessor, since int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended || s.lastEvent.Load() != since {
 		return false
 	}
-	s.successor = &next
+	s.successor = next
 	s.interrupted.Store(true)
 	s.interrupt()
 	return true
@@ -118,7 +122,7 @@
 }
 
 // takeSuccessor returns the path for which the stream has left its own, nil if there is none.
-func (s *monitoredStream) takeSuccessor() *reservation {
+func (s *monitoredStream) takeSuccessor() pathSuccessor {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.successor
--- a/internal/gateway/successor_test.go
+++ b/internal/gateway/successor_test.go
@@ -22,7 +22,10 @@
 	fleet, service := testFleet(now)
 	config := Config{Fleet: fleet, Logger: zap.NewNop(), OnObservation: func(deployment.BackendID, backend.Observation) {}}
 	m := newStreamMonitor(config, newEndWatch(&config, nil))
-	m.acquire = func(ctx context.Context, _ *pathRequest) (reservation, error) { return acquire(ctx) }
+	m.successor = func(ctx context.Context, _ *pathRequest) (pathSuccessor, error) {
+		next, err := acquire(ctx)
+		return &next, err
+	}
 	c := &call{service: service, started: now}
 	c.decision.Route = &deployment.Route{Resumable: true, MaxAttempts: 2}
 	stream := m.add(c, testReservation(t, fleet, now), false, func() {})
@@ -65,7 +68,7 @@
 	next = testReservation(t, fleet, time.Now())
 	m.seekSuccessor(context.Background(), stream, stream.lastEvent.Load())
 	assert.Assert(t, stream.interrupted.Load())
-	assert.Equal(t, stream.takeSuccessor().inFlight, next.inFlight)
+	assert.Equal(t, stream.takeSuccessor().(*reservation).inFlight, next.inFlight)
 }
 
 // TestStreamThatGoesOnKeepsItsPath guards against a path that is left although its events come
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -84,6 +84,7 @@
 func (r *Router) servePeers(ctx context.Context) error {
 	handler := http.NewServeMux()
 	handler.Handle(peer.LinkPath, r.mesh.Handler())
+	handler.Handle(relay.Path, r.relayHandler)
 	return r.serveOn(ctx, string(r.settings.PeerAddress), handler)
 }
 
@@ -229,13 +230,14 @@
 		}
 		now := time.Now()
 		r.sendZoneLoads(now)
+		r.repeatLinksState(now)
 		r.gateway.ShareRetries(now)
-		loads, limits := r.fleet.SnapshotLoads(), r.fleet.LimitReports(now)
-		if unchanged++; maps.Equal(loads, last) && len(limits) == 0 && unchanged < unchangedLoadTicks {
+		loads, limits, cutOff := r.fleet.SnapshotLoads(), r.fleet.LimitReports(now), r.outOfReach(now)
+		if unchanged++; maps.Equal(loads, last) && len(limits) == 0 && !cutOff && unchanged < unchangedLoadTicks {
 			continue
 		}
 		last, unchanged = loads, 0
-		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits})
+		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits, CutOff: cutOff})
 	}
 }
 
@@ -319,11 +321,15 @@
 }
 
 // HandleLink implements peer.Receiver. It sends the new peer what is known of ends of backend
-// servers and, if this instance holds the lease of its zone, the fencing token.
+// servers, whether this instance reaches them and, if it holds the lease of its zone, the
+// fencing token.
 func (r *Router) HandleLink(from peer.Hello) {
 	if evidence, _ := r.gateway.PoisonEvidence(time.Now()); !evidence.Empty() {
 		r.mesh.Send(from.Instance, peer.PoisonEvidence{Evidence: evidence})
 	}
+	if r.outOfReach(time.Now()) {
+		r.mesh.Send(from.Instance, peer.LinksState{CutOff: true})
+	}
 	if token := r.controller.FencingToken(); token > 0 {
 		r.mesh.Send(from.Instance, r.leaseHolder(token))
 	}
@@ -358,12 +364,18 @@
 	r.mesh.BroadcastZone(peer.StageObserved{Backend: id, What: what})
 }
 
-// activeInZone returns the reachable instances of this zone that are not shutting down,
-// this one included unless it is, sorted by id.
+// activeInZone returns the reachable instances of this zone that are not shutting down and
+// have not lost their links to the backend servers, this one included unless it is or has,
+// sorted by id.
 func (r *Router) activeInZone() []deployment.InstanceID {
+	now := time.Now()
 	var list []deployment.InstanceID
-	for _, id := range r.mesh.ActiveInZone() {
-		list = append(list, deployment.InstanceID(id))
+	for _, active := range r.mesh.ActiveInZone() {
+		id := deployment.InstanceID(active)
+		if id == r.settings.Instance && r.zoneOutOfReach() || r.relayPeers.CutOff(now, id) {
+			continue
+		}
+		list = append(list, id)
 	}
 	return list
 }
@@ -396,12 +408,16 @@
 	case peer.StageLoads:
 		now := time.Now()
 		r.fleet.SetPeerLoads(now, deployment.InstanceID(from.Instance), message.Loads)
+		r.relayPeers.SetLoad(deployment.InstanceID(from.Instance), backend.StageLoads(message.Loads).Total())
+		r.relayPeers.SetReaching(now, deployment.InstanceID(from.Instance), !message.CutOff)
 		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
 		r.logLimitsTold(from, r.fleet.SetPeerLimits(now, deployment.InstanceID(from.Instance), message.Limits))
+	case peer.LinksState:
+		r.relayPeers.SetReaching(time.Now(), deployment.InstanceID(from.Instance), !message.CutOff)
 	case peer.ZoneLoads:
 		r.handleZoneLoads(time.Now(), from, message)
 	case peer.StageObserved:
-		r.fleet.RecordObservation(time.Now(), deployment.InstanceID(from.Instance), message.Backend, message.What)
+		r.handleObservation(time.Now(), from, message)
 	case peer.Slowdown:
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
 	case peer.PoisonEvidence:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,10 +98,15 @@
 	clients       *clientConnections
 	mesh          *peer.Mesh
 	zoneRelays    zoneRelays
-	relayKey      relay.Key // zero while this instance takes no relayed requests
+	links         *backend.Links
+	relayKey      relay.Key
 	relayPeers    *relay.SharedDirectory
-	shuttingDown  atomic.Bool
-	shutdownGrace atomic.Int64 // time.Duration
+	relayHandler  *relay.Handler
+	// linksStateAt is when the others were last told, by broadcastLoads, and toldOutOfReach what.
+	linksStateAt   time.Time
+	toldOutOfReach bool
+	shuttingDown   atomic.Bool
+	shutdownGrace  atomic.Int64 // time.Duration
 
 	configurations     *consumer
 	backendList        *consumer
@@ -134,18 +139,23 @@
 		settings: settings, options: options, sink: sink,
 		logger:   logging.NewLogger(sink, zap.InfoLevel).With(zap.String("instance", string(settings.Instance))),
 		registry: prometheus.NewRegistry(),
-		fleet:    backend.NewFleet(settings.Zone), relayPeers: relay.NewSharedDirectory(settings.Instance),
+		fleet:    backend.NewFleet(settings.Zone), relayKey: relay.NewKey(), relayPeers: relay.NewSharedDirectory(settings.Instance),
 	}
 	r.clients = newClientConnections(r.logger)
-	dial := options.dialBackend()
-	r.backendClient = platform.NewBackendClient(dial, func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
+	r.links = backend.NewLinks(backend.LinksConfig{
+		Fleet: r.fleet, Dial: options.dialBackend(), Logger: r.logger, OnCutOff: r.broadcastLinksState, OnLinkDown: r.broadcastLinkDown,
+	})
+	r.backendClient = platform.NewBackendClient(r.links.Dial, func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) })
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	metrics := newMetrics(r.registry, sink, r.fleet)
 	r.store = platform.NewStoreClient(settings.StoreAddress, metrics.storeCall)
 	r.gateway = gateway.New(gateway.Config{
-		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient, Dial: dial,
+		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient, Dial: r.links.Dial,
 		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnPoisonEvidence: r.broadcastPoisonEvidence, OnSlowdownMeasured: r.broadcastSlowdown,
-		OnObservation: r.broadcastObservation,
+		OnObservation: r.broadcastObservation, Links: r.links, Peers: r.relayPeers, Leaving: r.shuttingDown.Load,
+	})
+	r.relayHandler = relay.NewHandler(relay.HandlerConfig{
+		Self: settings.Instance, Key: r.relayKey, BodyLimit: r.bodyLimit, Server: r.gateway, Logger: r.logger,
 	})
 	r.controller = placementcontroller.New(placementcontroller.Config{
 		Settings: settings, Store: r.store, BackendClient: r.backendClient, RoutingTable: &r.routingTable, Fleet: r.fleet, Logger: r.logger,
@@ -231,7 +241,7 @@
 	time.Sleep(min(deregistrationDelay, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
 	defer cancel()
-	err := errors.Join(server.Shutdown(ctx), r.clients.waitUntilIdle(ctx))
+	err := errors.Join(server.Shutdown(ctx), r.clients.waitUntilIdle(ctx), r.relayHandler.WaitUntilIdle(ctx))
 	r.logger.Info("stopped", zap.Duration("took-ms", time.Since(started)), zap.NamedError("cut-off", err))
 }
 
