--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -15,6 +15,10 @@
 	// server has ended.
 	endCheckDelay   = 30 * time.Millisecond
 	endCheckTimeout = 300 * time.Millisecond
+	// linkCheckTimeout is how long it may take to show that a refused connection is due to the
+	// server, not to this instance's own links. linkCheckInterval is the interval of the checks.
+	linkCheckTimeout  = 600 * time.Millisecond
+	linkCheckInterval = 20 * time.Millisecond
 )
 
 // suspectedEnd is a backend server that may have ended.
@@ -68,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	refused := e.transport.Refused(ctx, suspect.server.Address)
 	cancel()
-	if refused && e.config.Fleet.Serving(incarnation) {
+	if refused && e.reachesOthers(suspect.server.Address) && e.config.Fleet.Serving(incarnation) {
 		e.recordEnd(time.Now(), suspect)
 	}
 	e.mu.Lock()
@@ -77,6 +81,22 @@
 	close(done)
 }
 
+// reachesOthers reports whether this instance connects to other servers since it could not to
+// one. Otherwise its own links may have failed.
+func (e *endWatch) reachesOthers(address deployment.Address) bool {
+	if e.config.Links == nil {
+		return true
+	}
+	for started := time.Now(); time.Since(started) < linkCheckTimeout; time.Sleep(linkCheckInterval) {
+		now := time.Now()
+		e.config.Links.Step(now)
+		if e.config.Links.Down(now, address) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordEnd records that a backend server has ended, and blames this instance's attempts that
 // were in flight there.
 func (e *endWatch) recordEnd(now time.Time, suspect suspectedEnd) {
