--- a/internal/placementcontroller/controller.go
+++ b/internal/placementcontroller/controller.go
@@ -50,6 +50,9 @@
 	// ReachableInstances returns the instances of the zone that can be reached, this one
 	// included, the smallest id first.
 	ReachableInstances func() []deployment.InstanceID
+	// CutOff reports whether this instance has lost its links to the backend servers. It then
+	// neither holds the lease nor sends orders.
+	CutOff func() bool
 	// OnFencingToken is called with each fencing token that this instance newly acquires
 	// from the store, not with one that it adopts from an earlier holder. It must not
 	// call the Controller. OnLayersReported is called when a backend server that is
@@ -66,6 +69,7 @@
 	Config
 	topic      string
 	generation int64
+	withdrawn  bool // this instance has left the group, as it is cut off
 
 	mu       sync.Mutex
 	lease    lease
@@ -100,7 +104,7 @@
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for {
-		c.join(ctx)
+		c.maintain(ctx)
 		select {
 		case <-ctx.Done():
 			c.leave()
@@ -110,6 +114,31 @@
 	}
 }
 
+// maintain keeps this instance a candidate for the lease. While it has lost its links to the
+// backend servers it leaves the lease to the others.
+func (c *Controller) maintain(ctx context.Context) {
+	if !c.CutOff() {
+		c.withdrawn = false
+		c.join(ctx)
+		return
+	}
+	c.dropLease()
+	if !c.withdrawn {
+		c.withdrawn = true
+		c.leave()
+	}
+}
+
+// dropLease ends the orders of this instance.
+func (c *Controller) dropLease() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lease.heldSince.IsZero() {
+		c.Logger.Info("duty of orders", zap.Bool("held", false), zap.String("cause", "the backend servers can't be reached"))
+	}
+	c.lease.drop()
+}
+
 func (c *Controller) join(ctx context.Context) {
 	assignment, err := c.Store.JoinGroup(ctx, c.topic, string(c.Settings.Instance), c.topic, leaseTTL, c.generation)
 	if err != nil {
@@ -165,6 +194,9 @@
 }
 
 func (c *Controller) tick(ctx context.Context) {
+	if c.CutOff() {
+		return
+	}
 	now := time.Now()
 	next := c.nextStep(now)
 	switch next {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -159,7 +159,7 @@
 	})
 	r.controller = placementcontroller.New(placementcontroller.Config{
 		Settings: settings, Store: r.store, BackendClient: r.backendClient, RoutingTable: &r.routingTable, Fleet: r.fleet, Logger: r.logger,
-		ReachableInstances: r.activeInZone, OnFencingToken: r.broadcastLease, OnLayersReported: r.broadcastLayersHeld, OnOrder: r.broadcastOrder,
+		ReachableInstances: r.activeInZone, CutOff: r.zoneOutOfReach, OnFencingToken: r.broadcastLease, OnLayersReported: r.broadcastLayersHeld, OnOrder: r.broadcastOrder,
 	})
 	r.mesh = r.newMesh()
 	r.newConsumers()
