--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -105,8 +105,7 @@
 		if err == nil {
 			return s.followPeer(ctx, answer)
 		}
-		var noPeer *noPeerError
-		if errors.As(err, &noPeer) && request.resumed && time.Now().Before(request.deadline()) && sleep(ctx, peerRetryInterval) && s.gateway.mustRelay(time.Now(), s.call) {
+		if request.resumed && mayTakeLater(err) && time.Now().Before(request.deadline()) && sleep(ctx, peerRetryInterval) && s.gateway.mustRelay(time.Now(), s.call) {
 			continue
 		}
 		s.recordRefusal(err)
@@ -114,6 +113,12 @@
 	}
 }
 
+// mayTakeLater reports whether a request that no peer has taken may be taken in a moment.
+func mayTakeLater(err error) bool {
+	var noPeer *noPeerError
+	return errors.As(err, &noPeer) || errors.Is(err, errBudgetSpent)
+}
+
 // sleep waits. It returns false if ctx ends before.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
