--- a/internal/backend/links.go
+++ b/internal/backend/links.go
@@ -180,6 +180,15 @@
 	return ok && links.verdict == reachability.CutOff
 }
 
+// Doubtful reports whether it is being found out if this instance has lost its links to the
+// servers of a service.
+func (l *Links) Doubtful(service deployment.ServiceName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links, ok := l.services[service]
+	return ok && links.verdict == reachability.Doubtful
+}
+
 // AnyCutOff reports whether this instance has lost its links to the servers of some service.
 func (l *Links) AnyCutOff() bool {
 	l.mu.Lock()
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -135,10 +135,16 @@
 			continue
 		}
 		reserved, err := b.takeNext(ctx)
+		if errors.Is(err, errCutOff) && b.gateway.mustRelay(time.Now(), b.call) {
+			continue
+		}
 		if err != nil {
 			b.record(notRun{cause: err})
 			return b.best
 		}
+		if reserved == nil && b.awaitVerdict(ctx) {
+			continue
+		}
 		if reserved == nil {
 			return b.best
 		}
--- a/internal/gateway/bufferedrelay.go
+++ b/internal/gateway/bufferedrelay.go
@@ -37,6 +37,22 @@
 	return b.gateway.mustRelay(now, b.call) && b.gateway.Peers.Reaching(now)
 }
 
+// awaitVerdict waits, where no server is left to be tried, until it is known whether this
+// instance reaches them at all. It reports whether a peer must serve the request.
+func (b *bufferedRequest) awaitVerdict(ctx context.Context) bool {
+	links := b.gateway.Links
+	if links == nil || b.call.relayed != nil {
+		return false
+	}
+	for started := time.Now(); links.Doubtful(b.call.service.Name) && time.Since(started) < linkCheckTimeout; {
+		if !sleep(ctx, linkCheckInterval) {
+			return false
+		}
+		links.Step(time.Now())
+	}
+	return b.gateway.mustRelay(time.Now(), b.call)
+}
+
 // relay lets a peer serve the request, since this instance does not reach the servers. It
 // reports whether the request may be sent once more.
 func (b *bufferedRequest) relay(ctx context.Context) bool {
