--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -73,7 +73,8 @@
 }
 
 // Blamed is an attempt that was in flight on a server when that ended, and that had not
-// begun to be answered. Its keys are ordered from the most general to the most specific.
+// begun to be answered. Its keys are ordered from the most general to the most specific, and
+// the last one is that of the request as a whole.
 type Blamed struct {
 	Attempt Attempt
 	Keys    []Key
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -138,6 +138,61 @@
 	assert.Equal(t, tracker.Judge(at(8*time.Second), []Key{goodPart}), Clear)
 }
 
+// TestSoundRequestSentAgainDoesntFreeAPart checks that a bad part is held, and stays so, although
+// a sound request without it was sent again and again, each time to a server that then ended.
+func TestSoundRequestSentAgainDoesntFreeAPart(t *testing.T) {
+	tracker := NewTracker(0)
+	soundRequest := Key(1)
+	for i := range 5 {
+		now := at(time.Duration(i) * 2 * time.Second)
+		blamed := []Blamed{{Attempt: Attempt(100 + i), Keys: []Key{firstPart, goodPart, soundRequest}}}
+		if i < 3 {
+			blamed = append(blamed, attemptOf(i, firstPart, badPart))
+		}
+		tracker.RecordEnd(now, now, server(i), blamed)
+		if i >= 2 {
+			assert.Equal(t, tracker.Judge(now.Add(time.Second), []Key{badPart}), Held, "after %d ends", i+1)
+		}
+		if i == 2 {
+			assert.Assert(t, tracker.Judge(now.Add(time.Second), []Key{soundRequest}) != Held, "the part explains its ends")
+		}
+		assert.Assert(t, tracker.Judge(now.Add(time.Second), []Key{firstPart}) != Held, "after %d ends", i+1)
+		assert.Assert(t, tracker.Judge(now.Add(time.Second), []Key{goodPart}) != Held, "after %d ends", i+1)
+	}
+}
+
+// TestBadRequestSentAgainDoesntFreeItsPart checks that a bad part is held if one of its requests
+// was sent again as often as it ended servers, beside a sound request that was too.
+func TestBadRequestSentAgainDoesntFreeItsPart(t *testing.T) {
+	tracker := NewTracker(0)
+	for i := range 3 {
+		now := at(time.Duration(i) * 2 * time.Second)
+		tracker.RecordEnd(now, now, server(i), []Blamed{
+			{Attempt: Attempt(100 + i), Keys: []Key{firstPart, badPart, Key(1)}},
+			{Attempt: Attempt(200 + i), Keys: []Key{firstPart, goodPart, Key(2)}},
+			attemptOf(i, firstPart, badPart),
+		})
+	}
+	assert.Equal(t, tracker.Judge(at(6*time.Second), []Key{badPart}), Held)
+	assert.Assert(t, tracker.Judge(at(6*time.Second), []Key{firstPart}) != Held)
+	assert.Assert(t, tracker.Judge(at(6*time.Second), []Key{goodPart}) != Held)
+}
+
+// TestRepeatedRequestDoesntHoldItsParts checks that no part is held for a request that ends the
+// servers, although others with its first part were in flight there.
+func TestRepeatedRequestDoesntHoldItsParts(t *testing.T) {
+	tracker := NewTracker(0)
+	for i := range 4 {
+		now := at(time.Duration(i) * 2 * time.Second)
+		tracker.RecordEnd(now, now, server(i), []Blamed{
+			{Attempt: Attempt(100 + i), Keys: []Key{firstPart, Key(1)}},
+			attemptOf(2*i, firstPart), attemptOf(2*i+1, firstPart),
+		})
+	}
+	assert.Equal(t, tracker.Judge(at(8*time.Second), []Key{firstPart, Key(1)}), Held)
+	assert.Assert(t, tracker.Judge(at(8*time.Second), []Key{firstPart}) != Held)
+}
+
 // TestAnswerBeforeTheNoticeClears checks that an answer that began here after an end clears
 // the end, although its notice arrives later.
 func TestAnswerBeforeTheNoticeClears(t *testing.T) {
@@ -332,6 +387,66 @@
 	})
 }
 
+// TestProveSentAgainSoundRequestsDontFreeAPart checks that a bad part is held from its third
+// end on, and stays so, whatever sound requests were sent again to servers that ended, that no
+// part of theirs is held, and that the order of the notices doesn't matter.
+func TestProveSentAgainSoundRequestsDontFreeAPart(t *testing.T) {
+	prove.Random(t, func(t *rapid.T) {
+		tracker := NewTracker(0)
+		end := at(10 * time.Second)
+		var notices []Evidence
+		badEnds := 0
+		for i, e := range drawSentAgain(t) {
+			now := at(time.Duration(i) * 400 * time.Millisecond)
+			if slices.ContainsFunc(e.Blamed, func(b Blamed) bool { return slices.Contains(b.Keys, badPart) }) {
+				badEnds++
+			}
+			later := now.Add(60 * time.Millisecond)
+			notices = append(notices, aged(tracker.RecordEnd(now, now, e.Incarnation, e.Blamed), end.Sub(now)))
+			notices = append(notices, aged(tracker.RecordBegun(later, []Key{firstPart, goodPart}), end.Sub(later)))
+			assert.Equal(t, tracker.Judge(later, []Key{badPart}) == Held, badEnds >= heldEnds, "after %d ends", i+1)
+			assertSound(t, tracker, later)
+		}
+		other := NewTracker(0)
+		for _, notice := range rapid.Permutation(notices).Draw(t, "order") {
+			other.Merge(end, notice)
+		}
+		assert.DeepEqual(t, verdictsOf(other, end), verdictsOf(tracker, end))
+	})
+}
+
+// drawSentAgain draws ends, the first three of them and others on a bad part, to whose servers
+// sound requests were sent again.
+func drawSentAgain(t *rapid.T) []End {
+	var ends []End
+	sound := rapid.IntRange(1, 6).Draw(t, "sound")
+	number := 0
+	for i := range rapid.IntRange(heldEnds, 12).Draw(t, "ends") {
+		var blamed []Blamed
+		if i < heldEnds || rapid.Bool().Draw(t, "by-part") {
+			number++
+			blamed = append(blamed, attemptOf(number, firstPart, badPart))
+		}
+		for request := range sound {
+			if rapid.Bool().Draw(t, "sent-again") {
+				number++
+				blamed = append(blamed, Blamed{Attempt: Attempt(number), Keys: soundKeys(request)})
+			}
+		}
+		ends = append(ends, End{Incarnation: server(i), Blamed: blamed})
+	}
+	return ends
+}
+
+// soundKeys returns the keys of a sound request, of which every second one has the good part.
+func soundKeys(request int) []Key {
+	own := Key(2_000_000 + request)
+	if request%2 == 0 {
+		return []Key{firstPart, goodPart, own}
+	}
+	return []Key{firstPart, own}
+}
+
 // TestProveTablesAreBounded checks the bounds on what is kept and told under a flood of
 // ends with different keys.
 func TestProveTablesAreBounded(t *testing.T) {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -186,7 +186,7 @@
 		fresh.AnsweredAge = now.Sub(known.answered)
 	}
 	for _, b := range e.Blamed {
-		keys := b.Keys[:min(len(b.Keys), maxKeysOfAttempt)]
+		keys := boundKeys(b.Keys)
 		if _, has := known.blamed[b.Attempt]; has || len(known.blamed) >= maxBlamed || !t.anyLive(known, keys) {
 			continue
 		}
@@ -196,6 +196,14 @@
 	return fresh, isNew || len(fresh.Blamed) > 0
 }
 
+// boundKeys returns the most general keys of an attempt and that of its request.
+func boundKeys(keys []Key) []Key {
+	if len(keys) <= maxKeysOfAttempt {
+		return keys
+	}
+	return append(slices.Clone(keys[:maxKeysOfAttempt-1]), keys[len(keys)-1])
+}
+
 // mergeAnswered records when an answer began after an end, as told or seen here. It reports
 // whether that is news.
 func (t *Tracker) mergeAnswered(now time.Time, e End, known *end) bool {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -118,30 +118,28 @@
 
 // blame is what speaks against one key.
 type blame struct {
-	key         Key
-	specificity int // the greatest index of the key among those of a request
-	ends        []*end
-	score       int
+	key Key
+	tally
+	score int
 }
 
 // compute holds the keys with the highest scores. The ends that a held key explains don't
 // count against others: what is often in flight beside it is sound. Of two keys with the
-// same score the more specific one is held, since fewer requests have it.
+// same score the more specific one is held, since fewer requests have it, but see nextToHold.
 func (t *Tracker) compute(now time.Time) verdicts {
 	episodes, until := t.episodes(now)
 	v := verdicts{valid: true, until: until, suspects: map[Key]bool{}, held: map[Key]heldKey{}, live: map[Key]int{}}
-	explained := map[*end]bool{}
-	blames := t.blames(episodes, explained)
+	known := newExplanations()
+	blames := t.blames(episodes, known)
 	for _, b := range blames {
 		v.live[b.key] = len(b.ends)
 	}
 	for len(blames) > 0 && blames[0].score >= heldEnds {
-		worst := blames[0]
-		v.held[worst.key] = heldKey{ends: len(worst.ends), lastEnd: worst.ends[len(worst.ends)-1].at}
-		for _, e := range worst.ends {
-			explained[e] = true
+		for _, b := range nextToHold(blames, known) {
+			v.held[b.key] = heldKey{ends: len(b.ends), lastEnd: b.ends[len(b.ends)-1].at}
+			known.add(b)
 		}
-		blames = t.blames(episodes, explained)
+		blames = t.blames(episodes, known)
 	}
 	for _, b := range blames {
 		if b.score >= suspectEnds {
@@ -151,19 +149,85 @@
 	return v
 }
 
+// nextToHold returns what is to be held next of blames that are in order: the worst one, or all
+// requests with its score. If that is a request, a part with the same score goes first that
+// several requests had, if a request that is held or would be lacks it: such a request may be
+// sound and have been sent again.
+func nextToHold(blames []blame, known *explanations) []blame {
+	if blames[0].request == nil {
+		return blames[:1]
+	}
+	parts, requests := tiedForWorst(blames)
+	for _, part := range parts {
+		lacks := func(request blame) bool { return !slices.Contains(request.request, part.key) }
+		if len(part.requests) > 1 && (slices.ContainsFunc(requests, lacks) || slices.ContainsFunc(known.requests, lacks)) {
+			return []blame{part}
+		}
+	}
+	return requests
+}
+
+// tiedForWorst returns the parts and the requests with the highest score.
+func tiedForWorst(blames []blame) (parts, requests []blame) {
+	for _, b := range blames {
+		switch {
+		case b.score < blames[0].score:
+			return parts, requests
+		case b.request == nil:
+			parts = append(parts, b)
+		default:
+			requests = append(requests, b)
+		}
+	}
+	return parts, requests
+}
+
+// explanations are the ends that held keys explain.
+type explanations struct {
+	byParts    map[*end]bool
+	byRequests map[Key]map[*end]bool // by the keys that they don't count against
+	requests   []blame               // those that are held
+}
+
+func newExplanations() *explanations {
+	return &explanations{byParts: map[*end]bool{}, byRequests: map[Key]map[*end]bool{}}
+}
+
+// add records that a held key explains its ends. A part does so for all keys. A request does
+// so for its own keys only: a sound one that is sent again and again has been in flight on as
+// many servers as the part on which these ended.
+func (x *explanations) add(held blame) {
+	if held.request == nil {
+		for _, e := range held.ends {
+			x.byParts[e] = true
+		}
+		return
+	}
+	x.requests = append(x.requests, held)
+	for _, key := range held.request {
+		if x.byRequests[key] == nil {
+			x.byRequests[key] = map[*end]bool{}
+		}
+		for _, e := range held.ends {
+			x.byRequests[key][e] = true
+		}
+	}
+}
+
+// has reports whether an end doesn't count against a key.
+func (x *explanations) has(e *end, key Key) bool { return x.byParts[e] || x.byRequests[key][e] }
+
 // blames returns what speaks against each key that is not cleared, the worst first.
-func (t *Tracker) blames(episodes []episode, explained map[*end]bool) []blame {
+func (t *Tracker) blames(episodes []episode, known *explanations) []blame {
 	found := map[Key]*tally{}
 	for i := range episodes {
 		for _, e := range episodes[i].ends {
-			if !explained[e] {
-				t.tallyEnd(found, i, e)
-			}
+			t.tallyEnd(found, i, e, known)
 		}
 	}
 	list := make([]blame, 0, len(found))
 	for key, sum := range found {
-		list = append(list, blame{key: key, specificity: sum.specificity, ends: sum.ends, score: sum.score(episodes)})
+		list = append(list, blame{key: key, tally: *sum, score: sum.score(episodes)})
 	}
 	slices.SortFunc(list, func(a, b blame) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.specificity, a.specificity), cmp.Compare(a.key, b.key))
@@ -173,25 +237,31 @@
 
 // tally collects the ends against one key.
 type tally struct {
-	specificity int
+	specificity int   // the greatest index of the key among those of a request
+	request     []Key // if the key is that of a request as a whole, all keys of that request
+	requests    map[Key]bool
 	ends        []*end
 	byEpisode   map[int]int // ends
 	attempts    map[Attempt]bool
 }
 
-func (t *Tracker) tallyEnd(found map[Key]*tally, episode int, e *end) {
+func (t *Tracker) tallyEnd(found map[Key]*tally, episode int, e *end, known *explanations) {
 	counted := map[Key]bool{}
 	for attempt, keys := range e.blamed {
 		for position, key := range keys {
-			if !t.isLive(e, key) {
+			if !t.isLive(e, key) || known.has(e, key) {
 				continue
 			}
 			sum, ok := found[key]
 			if !ok {
-				sum = &tally{byEpisode: map[int]int{}, attempts: map[Attempt]bool{}}
+				sum = &tally{requests: map[Key]bool{}, byEpisode: map[int]int{}, attempts: map[Attempt]bool{}}
 				found[key] = sum
 			}
 			sum.specificity = max(sum.specificity, position)
+			if position == len(keys)-1 {
+				sum.request = keys
+			}
+			sum.requests[keys[len(keys)-1]] = true
 			sum.attempts[attempt] = true
 			if !counted[key] {
 				counted[key] = true
