--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -114,6 +114,15 @@
 	}
 }
 
+// ReachedByOthers reports whether another instance has told that it reaches a server, to which
+// the link of this one is suspected.
+func (f *Fleet) ReachedByOthers(now time.Time, id deployment.BackendID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.servers[id]
+	return ok && s.link.own(now)
+}
+
 // MarkLinkSuspect keeps a stage to which this instance can't connect out of new paths. If
 // another instance reaches it, it stays out as the first stage only. MarkLinkSuspect returns
 // the stage, and whether the link to it was not suspected before.
--- a/internal/backend/links.go
+++ b/internal/backend/links.go
@@ -38,7 +38,7 @@
 	// when it has them again.
 	OnCutOff func(service deployment.ServiceName, cutOff bool)
 	// OnLinkDown is called when this instance does not reach a backend server, though it
-	// reaches others.
+	// reaches others, and at intervals while that lasts.
 	OnLinkDown func(address deployment.Address)
 }
 
@@ -52,6 +52,8 @@
 	services  map[deployment.ServiceName]*serviceLinks
 	byAddress map[deployment.Address]*serviceLinks
 	serversAt time.Time // when the list of backend servers was last read
+	// connectedBegun is when the last connection to any server that was established was begun.
+	connectedBegun time.Time
 }
 
 // NewLinks returns Links on which nothing was observed.
@@ -64,9 +66,10 @@
 func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	links, id := l.begin(time.Now(), deployment.Address(address), cancel)
+	begun := time.Now()
+	links, id := l.begin(begun, deployment.Address(address), cancel)
 	connection, err := l.config.Dial(ctx, network, address)
-	l.record(time.Now(), links, id, ctx, err)
+	l.record(begun, links, id, ctx, err)
 	if err != nil && ctx.Err() != nil {
 		return nil, errors.Join(context.Cause(ctx), err)
 	}
@@ -85,11 +88,15 @@
 }
 
 // record records the end of an attempt to connect.
-func (l *Links) record(now time.Time, links *serviceLinks, id reachability.AttemptID, ctx context.Context, err error) {
+func (l *Links) record(begun time.Time, links *serviceLinks, id reachability.AttemptID, ctx context.Context, err error) {
 	if links == nil {
 		return
 	}
 	l.mu.Lock()
+	now := time.Now()
+	if err == nil && begun.After(l.connectedBegun) {
+		l.connectedBegun = begun
+	}
 	address := links.record(now, id, ctx, err)
 	settled := err == nil && links.verdict == reachability.Sound
 	l.mu.Unlock()
@@ -155,21 +162,24 @@
 		}
 		l.config.OnCutOff(service, lost)
 	}
-	for _, address := range step.down {
-		l.config.Logger.Info("link to a backend server down", zap.String("address", string(address)))
-		l.config.OnLinkDown(address)
+	for _, down := range step.down {
+		if down.fresh {
+			l.config.Logger.Info("link to a backend server down", zap.String("address", string(down.address)))
+		}
+		l.config.OnLinkDown(down.address)
 	}
 }
 
 // probe connects to a backend server and closes the connection without sending anything.
 func (l *Links) probe(links *serviceLinks, probe linkProbe) {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), reachability.ProbeTimeout)
 	defer cancel()
 	connection, err := l.config.Dial(ctx, "tcp4", string(probe.address))
 	if err == nil {
 		_ = connection.Close() // nothing was sent
 	}
-	l.record(time.Now(), links, probe.id, ctx, err)
+	l.record(begun, links, probe.id, ctx, err)
 }
 
 // CutOff reports whether this instance has lost its links to the servers of a service.
@@ -201,6 +211,35 @@
 	return false
 }
 
+// SomeUp reports whether this instance connects to some server of a service, although it has
+// lost most of its links to it.
+func (l *Links) SomeUp(now time.Time, service deployment.ServiceName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links, ok := l.services[service]
+	return ok && links.someUp(now)
+}
+
+// ReachesOthers reports whether this instance has connected to other servers since a connection
+// to one was refused, so that the link is not at fault: to another one of its service or, if it
+// is the only one, of any service. settled is false while that is being found out.
+func (l *Links) ReachesOthers(now time.Time, address deployment.Address, refusedAt time.Time) (reaches, settled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links := l.byAddress[address]
+	switch {
+	case links == nil:
+		return true, true // it has left the list
+	case links.tracker.Link(now, address) == reachability.LinkDown:
+		return true, true
+	case len(links.servers) == 1 && l.connectedBegun.After(refusedAt):
+		return true, true
+	case len(links.servers) > 1 && links.verdict == reachability.CutOff:
+		return false, true
+	}
+	return false, false
+}
+
 // Calm reports whether no link can be down, as no connection has failed lately.
 func (l *Links) Calm(now time.Time) bool {
 	l.mu.Lock()
--- a/internal/backend/links_test.go
+++ b/internal/backend/links_test.go
@@ -158,3 +158,38 @@
 	l.await(t, func(time.Time) bool { return !l.links.CutOff("model") })
 	assert.Equal(t, len(l.fleet.Stages(time.Now(), service)), 3)
 }
+
+// TestServerThatIsBackAfterACrashIsUsed guards against a service that stays out of reach although
+// one of its servers, which have all ended, is back.
+func TestServerThatIsBackAfterACrashIsUsed(t *testing.T) {
+	l := newLinksTest()
+	l.net.refuse(plainAddress(0), plainAddress(1), plainAddress(2))
+	assert.ErrorIs(t, l.connect(plainAddress(0)), syscall.ECONNREFUSED)
+	l.await(t, func(time.Time) bool { return l.links.CutOff("plain") })
+	assert.Assert(t, !l.links.SomeUp(time.Now(), "plain"))
+	l.net.refuse(plainAddress(1), plainAddress(2))
+	l.await(t, func(now time.Time) bool { return l.links.SomeUp(now, "plain") })
+	assert.NilError(t, l.connect(plainAddress(0)))
+}
+
+// TestEndIsToldFromALostLink guards against ends that are held against requests though this
+// instance's links failed, and against those of an only server that never are.
+func TestEndIsToldFromALostLink(t *testing.T) {
+	l := newLinksTest()
+	l.net.refuse(modelAddress(0))
+	refusedAt := time.Now()
+	assert.ErrorIs(t, l.connect(modelAddress(0)), syscall.ECONNREFUSED)
+	reaches, settled := false, false
+	l.await(t, func(now time.Time) bool {
+		reaches, settled = l.links.ReachesOthers(now, modelAddress(0), refusedAt)
+		return settled
+	})
+	assert.Assert(t, reaches)
+	l.net.refuse(plainAddress(0), plainAddress(1), plainAddress(2))
+	assert.ErrorIs(t, l.connect(plainAddress(0)), syscall.ECONNREFUSED)
+	l.await(t, func(now time.Time) bool {
+		reaches, settled = l.links.ReachesOthers(now, plainAddress(0), refusedAt)
+		return settled
+	})
+	assert.Assert(t, !reaches)
+}
--- a/internal/backend/servicelinks.go
+++ b/internal/backend/servicelinks.go
@@ -10,6 +10,9 @@
 	"mulberryhead.org/mulberryhead/internal/reachability"
 )
 
+// downReportInterval is the interval at which a link that is down is reported.
+const downReportInterval = time.Second
+
 // serviceLinks are the links of this instance to the servers of one service. It is not safe for
 // concurrent use.
 type serviceLinks struct {
@@ -19,19 +22,19 @@
 	verdict reachability.Verdict // as of the last step
 	// dialing holds the connections that requests wait for.
 	dialing     map[reachability.AttemptID]dialing
-	down        map[deployment.Address]bool
+	down        map[deployment.Address]time.Time // links that are down, and when that was last reported
 	lastFailure time.Time
 }
 
 // dialing is a connection that a request waits for.
 type dialing struct {
 	address deployment.Address
-	cancel  context.CancelCauseFunc
+	cancel  context.CancelCauseFunc // nil for a probe, which ends by itself
 }
 
 func newServiceLinks(service deployment.ServiceName) *serviceLinks {
 	return &serviceLinks{
-		service: service, tracker: reachability.NewTracker(), down: map[deployment.Address]bool{},
+		service: service, tracker: reachability.NewTracker(), down: map[deployment.Address]time.Time{},
 		dialing: map[reachability.AttemptID]dialing{},
 	}
 }
@@ -76,7 +79,13 @@
 	links        *serviceLinks
 	was, verdict reachability.Verdict
 	probes       []linkProbe
-	down         []deployment.Address // links that are down and were not before
+	down         []downLink // to be reported
+}
+
+// downLink is a link that is down.
+type downLink struct {
+	address deployment.Address
+	fresh   bool // it was not before
 }
 
 // linkProbe is a probe that has begun.
@@ -93,15 +102,14 @@
 		l.lastFailure = now
 	}
 	if step.verdict == reachability.CutOff {
-		l.cancelDialing(ErrCutOff, func(deployment.Address) bool { return true })
+		l.cancelDialing(ErrCutOff, func(address deployment.Address) bool { return l.tracker.Link(now, address) != reachability.LinkUp })
 	}
 	for _, address := range l.tracker.Probes(now) {
-		// A probe ends by itself, whatever is found meanwhile.
-		step.probes = append(step.probes, linkProbe{id: l.begin(now, address, func(error) {}), address: address})
+		step.probes = append(step.probes, linkProbe{id: l.begin(now, address, nil), address: address})
 	}
-	step.down = l.newlyDown(now)
+	step.down = l.downToReport(now)
 	if len(l.down) > 0 {
-		l.cancelDialing(ErrLinkDown, func(address deployment.Address) bool { return l.down[address] })
+		l.cancelDialing(ErrLinkDown, func(address deployment.Address) bool { return !l.down[address].IsZero() })
 	}
 	return step
 }
@@ -109,29 +117,39 @@
 // cancelDialing ends the waiting for connections to some servers.
 func (l *serviceLinks) cancelDialing(cause error, to func(address deployment.Address) bool) {
 	for id, d := range l.dialing {
-		if to(d.address) {
+		if d.cancel != nil && to(d.address) {
 			d.cancel(cause)
 			delete(l.dialing, id)
 		}
 	}
 }
 
-// newlyDown returns the servers whose links are down and were not before.
-func (l *serviceLinks) newlyDown(now time.Time) []deployment.Address {
+// downToReport returns the links that are down and were not before, or were reported some time
+// ago.
+func (l *serviceLinks) downToReport(now time.Time) []downLink {
 	if l.verdict != reachability.Sound || now.Sub(l.lastFailure) > linkMemory {
 		return nil
 	}
-	var fresh []deployment.Address
+	var report []downLink
 	for _, server := range l.servers {
-		down := l.tracker.Link(now, server.Address) == reachability.LinkDown
-		if down && !l.down[server.Address] {
-			fresh = append(fresh, server.Address)
-		}
-		if down {
-			l.down[server.Address] = true
-		} else {
+		reported := l.down[server.Address]
+		switch {
+		case l.tracker.Link(now, server.Address) != reachability.LinkDown:
 			delete(l.down, server.Address)
+		case now.Sub(reported) >= downReportInterval:
+			l.down[server.Address] = now
+			report = append(report, downLink{address: server.Address, fresh: reported.IsZero()})
+		}
+	}
+	return report
+}
+
+// someUp reports whether the link to some server is up.
+func (l *serviceLinks) someUp(now time.Time) bool {
+	for _, server := range l.servers {
+		if l.tracker.Link(now, server.Address) == reachability.LinkUp {
+			return true
 		}
 	}
-	return fresh
+	return false
 }
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -211,7 +211,7 @@
 // reserveConnected reserves an available backend server in place of one that is slow, and opens
 // a connection to it. It returns nil without one.
 func (b *bufferedRequest) reserveConnected(ctx context.Context) *bufferedReservation {
-	b.arrived = true // as far as is known of the attempt in flight
+	b.arrived = true // as far as is known while the attempt is in flight
 	// Without another backend server the attempt goes on: its server may only be slow.
 	reserved, _ := b.reserve(time.Now(), b.gateway.Fleet.PickAvailable)
 	if reserved == nil {
@@ -336,9 +336,11 @@
 	request.Header.Set(platform.HeaderExpectBackend, string(inFlight.Backend.ID))
 	started := time.Now()
 	watched := b.gateway.ends.begin(c, inFlight.Servers(), false, nil)
+	arrived := b.arrived
 	stop := b.leaveSlowAttempt(ctx, cancel)
 	result := b.roundTrip(ctx, reserved, request)
 	stop()
+	b.arrived = arrived // recordServer decides on this attempt
 	b.gateway.logAttempt(c, inFlight.Backend, result, time.Since(started))
 	b.finishWatched(ctx, watched, result)
 	inFlight.Done(time.Now(), backendResult(clientCtx, result))
--- a/internal/gateway/bufferedrelay.go
+++ b/internal/gateway/bufferedrelay.go
@@ -34,7 +34,7 @@
 
 // peerMayServe reports whether an attempt is to be left since only a peer can serve the request.
 func (b *bufferedRequest) peerMayServe(now time.Time) bool {
-	return b.gateway.mustRelay(now, b.call) && b.gateway.Peers.Reaching(now)
+	return b.gateway.mustRelay(now, b.call) && b.gateway.peerUsable(now, b.call.service.Name)
 }
 
 // awaitVerdict waits, where no server is left to be tried, until it is known whether this
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -71,8 +71,9 @@
 	time.Sleep(endCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	refused := e.transport.Refused(ctx, suspect.server.Address)
+	refusedAt := time.Now()
 	cancel()
-	if refused && e.reachesOthers(suspect.server.Address) && e.config.Fleet.Serving(incarnation) {
+	if refused && e.reachesOthers(suspect.server.Address, refusedAt) && e.config.Fleet.Serving(incarnation) {
 		e.recordEnd(time.Now(), suspect)
 	}
 	e.mu.Lock()
@@ -83,16 +84,18 @@
 
 // reachesOthers reports whether this instance connects to other servers since it could not to
 // one. Otherwise its own links may have failed.
-func (e *endWatch) reachesOthers(address deployment.Address) bool {
-	if e.config.Links == nil {
+func (e *endWatch) reachesOthers(address deployment.Address, refusedAt time.Time) bool {
+	links := e.config.Links
+	if links == nil {
 		return true
 	}
-	for started := time.Now(); time.Since(started) < linkCheckTimeout; time.Sleep(linkCheckInterval) {
+	for time.Since(refusedAt) < linkCheckTimeout {
 		now := time.Now()
-		e.config.Links.Step(now)
-		if e.config.Links.Down(now, address) {
-			return true
+		links.Step(now)
+		if reaches, settled := links.ReachesOthers(now, address, refusedAt); settled {
+			return reaches
 		}
+		time.Sleep(linkCheckInterval)
 	}
 	return false
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	Config
 	transport   *backend.Transport
 	relayClient *relay.Client
+	refusals    refusals
 	monitor     *streamMonitor
 	ends        *endWatch
 
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -23,8 +23,10 @@
 	// fixed is set if only a first stage in ran may be chosen.
 	fixed   bool
 	arrived bool // a backend server has got the request
-	// avoid is a peer to which it must not be relayed, empty for none.
-	avoid deployment.InstanceID
+	// avoid are the peers to which it must not be relayed.
+	avoid map[deployment.InstanceID]bool
+	// stream is told of searches that may have run it.
+	stream *stream
 	// lastEventID is that of the last event which the client has, if hasLastEventID is set.
 	lastEventID    int64
 	hasLastEventID bool
--- a/internal/gateway/peerwatch.go
+++ b/internal/gateway/peerwatch.go
@@ -4,12 +4,14 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
 )
 
 // peerStallThreshold is the time without an event after which another path is sought for a
 // stream that a peer serves, which itself looks for one after stallThreshold. If the peer is
 // known to have lost its links, stallThreshold applies here too.
-const peerStallThreshold = time.Second
+const peerStallThreshold = 1500 * time.Millisecond
 
 // peerWatch detects that a peer which serves a stream no longer can, and leaves it once another
 // path is reserved. It implements eventObserver.
@@ -19,10 +21,11 @@
 	begun     time.Time
 	lastEvent atomic.Int64  // Unix nanoseconds
 	next      pathSuccessor // for which the peer was left, nil if it was not; to be read after stop
+	avoid     map[deployment.InstanceID]bool
 }
 
 func newPeerWatch(s *stream, answer *relayedAnswer) *peerWatch {
-	w := &peerWatch{stream: s, answer: answer, begun: time.Now()}
+	w := &peerWatch{stream: s, answer: answer, begun: time.Now(), avoid: map[deployment.InstanceID]bool{answer.peer: true}}
 	w.lastEvent.Store(w.begun.UnixNano())
 	return w
 }
@@ -62,7 +65,7 @@
 	if request.attempts >= maxStreamAttempts {
 		return
 	}
-	request.avoid = w.answer.peer
+	request.avoid = w.avoid
 	request.needed = func() bool { return w.stalled(time.Now(), since) }
 	ctx, cancel := context.WithTimeout(ctx, peerStallThreshold)
 	defer cancel()
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return nil, &relayRefusal{relay.ReasonNoService, configurationRetryAfter}
 	}
-	if g.Links.Unreachable(now, service) {
+	if g.Links.Unreachable(now, service) && !g.Links.SomeUp(now, service.Name) {
 		return nil, &relayRefusal{relay.ReasonCutOff, cutOffRetryAfter}
 	}
 	return service, nil
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,10 @@
 // refuse have not run it.
 const maxRelayPeers = 4
 
+// minOfferTime is the minimum time within which the answer of a peer must begin, if another one
+// may be asked.
+const minOfferTime = time.Second
+
 // errCutOff reports that this instance does not reach the backend servers of a service.
 var errCutOff = errors.New("the backend servers can't be reached from here")
 
@@ -60,8 +65,9 @@
 	repeat  bool
 	resumed bool                   // the client has a part of the response
 	ran     []deployment.BackendID // servers that may have run the request
+	unnamed int                    // further servers that may have, which no peer has named
 	lastID  string                 // of the last event that the client has, empty if none
-	avoid   deployment.InstanceID  // not to be offered to, empty for none
+	avoid   map[deployment.InstanceID]bool
 }
 
 // relayedAnswer is a response that a peer returns.
@@ -94,7 +100,8 @@
 // *noPeerError, a *refusedError, errBudgetSpent, all of which mean that no server has run it in
 // this attempt, or a *relayUnknownError.
 func (g *Gateway) offer(ctx context.Context, offer *relayOffer) (*relayedAnswer, error) {
-	tried := map[deployment.InstanceID]bool{offer.avoid: true}
+	tried := g.refusals.recent(time.Now(), offer.call.service.Name)
+	maps.Copy(tried, offer.avoid)
 	refused := &noPeerError{retryAfter: cutOffRetryAfter, cause: errCutOff}
 	for range maxRelayPeers {
 		peer, ended, ok := g.Peers.Begin(time.Now(), g.Settings.Zone, tried)
@@ -109,11 +116,14 @@
 			return answer, nil
 		}
 		ended()
+		if ctx.Err() != nil {
+			return nil, err
+		}
 		var refusal *refusedError
 		if !errors.As(err, &refusal) || refusal.final() {
 			return nil, err
 		}
-		g.learnRefusal(refusal)
+		g.learnRefusal(offer.call.service.Name, refusal)
 		refused.offered++
 		refused.cause = err
 	}
@@ -131,12 +141,15 @@
 }
 
 // learnRefusal records what a refusal tells of the peer.
-func (g *Gateway) learnRefusal(refusal *refusedError) {
+func (g *Gateway) learnRefusal(service deployment.ServiceName, refusal *refusedError) {
+	now := time.Now()
 	switch refusal.Reason {
-	case relay.ReasonCutOff, relay.ReasonNotSent:
-		g.Peers.SetReaching(time.Now(), refusal.peer, false)
-	case relay.ReasonLeaving:
-		g.Peers.SetLeaving(refusal.peer)
+	case relay.ReasonCutOff, relay.ReasonNoService:
+		g.refusals.record(now, service, refusal.peer) // it may reach other services
+	case relay.ReasonNotSent:
+		g.Peers.SetReaching(now, refusal.peer, false)
+	case relay.ReasonLeaving, relay.ReasonNotAllowed:
+		g.Peers.SetLeaving(refusal.peer) // or it is another process, whose key is not known yet
 	default:
 	}
 }
@@ -148,13 +161,33 @@
 	if offer.repeat && !budget.Take(now, offer.resumed) {
 		return nil, errBudgetSpent
 	}
+	ctx, cancel := g.offerContext(ctx, offer)
 	outcome := g.relayClient.Send(ctx, peer, g.relayRequest(now, offer))
 	err := g.relayError(peer, outcome, offer, budget)
 	g.logRelay(offer, peer, time.Since(now), err)
-	if answered, ok := outcome.(relay.Answered); ok {
-		return &relayedAnswer{peer: peer.ID, Answered: answered}, nil
+	answered, ok := outcome.(relay.Answered)
+	if !ok {
+		cancel()
+		return nil, err
+	}
+	if !cancel() {
+		answered.Response.Close()
+		return nil, &relayUnknownError{peer: peer.ID, ran: answered.Ran, cause: context.DeadlineExceeded}
 	}
-	return nil, err
+	return &relayedAnswer{peer: peer.ID, Answered: answered}, nil
+}
+
+// offerContext returns the context of an offer. If the request may be sent again to another
+// peer, it ends when the answer takes too long to begin, as the peer may stand still. cancel
+// lifts that limit; it returns false if the limit was reached.
+func (g *Gateway) offerContext(parent context.Context, offer *relayOffer) (ctx context.Context, cancel func() bool) {
+	route := offer.call.decision.Route
+	if !route.Resumable && route.Kind != deployment.Idempotent {
+		return parent, func() bool { return true }
+	}
+	ctx, end := context.WithCancel(parent)
+	timer := time.AfterFunc(max(minOfferTime, attemptTimeoutTargets*route.TargetLatency), end)
+	return ctx, timer.Stop
 }
 
 // relayError returns the error of an outcome, nil if the peer has answered. A retry is given
@@ -167,6 +200,9 @@
 		}
 		return &refusedError{peer: peer.ID, NotRun: outcome}
 	case relay.Unknown:
+		if len(outcome.Ran) == 0 {
+			g.refusals.record(time.Now(), offer.call.service.Name, peer.ID) // it has broken off, or did not answer in time
+		}
 		return &relayUnknownError{peer: peer.ID, ran: outcome.Ran, cause: outcome.Cause}
 	}
 	return nil
@@ -178,9 +214,11 @@
 	if offer.lastID != "" {
 		header.Set(platform.HeaderLastEventID, offer.lastID)
 	}
+	route := relay.RouteOf(c.decision.Route)
+	route.MaxAttempts = max(1, route.MaxAttempts-offer.unnamed)
 	return relay.Request{
 		From: g.Settings.Instance, ID: c.id, Remaining: c.remaining(now), Version: c.version, Service: c.service.Name,
-		Route: relay.RouteOf(c.decision.Route), Priority: c.decision.Priority, Team: c.decision.Team, Repeat: offer.repeat,
+		Route: route, Priority: c.decision.Priority, Team: c.decision.Team, Repeat: offer.repeat,
 		Ran: offer.ran, Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: header, Body: c.request.Body,
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,7 @@
 	// goroutine of the request changes them.
 	mu             sync.Mutex
 	arrived        bool                          // a backend server has got the request
+	searches       int                           // for a peer, that may have run the request
 	ran            map[deployment.BackendID]bool // first stages that ran the request or may have run it
 	lastEventID    int64                         // last event that was written to the client, or that its request named
 	hasLastEventID bool
@@ -253,6 +254,8 @@
 	switch {
 	case heldBackOf(cause) != nil, errors.As(cause, &refused) && refused.final():
 		return false
+	case errors.Is(cause, errBudgetSpent):
+		return false
 	case errors.As(cause, &unreserved):
 		return errors.Is(cause, errCutOff) && s.call.relayed == nil
 	case errors.As(cause, &noPeer):
@@ -274,7 +277,7 @@
 	defer s.mu.Unlock()
 	request := pathRequest{
 		gateway: s.gateway, call: s.call, ran: maps.Clone(s.ran), resumed: s.headerWritten, fixed: s.headerWritten && s.call.relayed != nil,
-		arrived: s.arrived, attempts: s.call.attempts,
+		arrived: s.arrived, attempts: s.call.attempts + s.searches, stream: s,
 		lastEventID: s.lastEventID, hasLastEventID: s.hasLastEventID, lastEventAt: s.lastEventAt,
 	}
 	if s.call.relayed != nil {
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -167,6 +167,8 @@
 }
 
 func (s *stream) recordNotRun(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.ran) == 0 {
 		s.notRunCause = cause
 	}
@@ -319,6 +321,8 @@
 
 // ranServers returns the first stages that may have run the request, sorted.
 func (s *stream) ranServers() []deployment.BackendID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return slices.Sorted(maps.Keys(s.ran))
 }
 
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -12,6 +12,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/relay"
 )
 
 // peerRetryInterval is the interval at which a stream that has begun looks for a peer.
@@ -32,7 +33,11 @@
 
 // offer returns what is offered to the peers for the next attempt of a stream.
 func (p *pathRequest) offer() *relayOffer {
-	offer := &relayOffer{call: p.call, repeat: p.arrived, resumed: p.resumed, avoid: p.avoid, ran: slices.Sorted(maps.Keys(p.ran))}
+	named := maps.Clone(p.ran)
+	delete(named, unknownServer)
+	offer := &relayOffer{
+		call: p.call, repeat: p.arrived, resumed: p.resumed, avoid: p.avoid, ran: slices.Sorted(maps.Keys(named)), unnamed: len(p.ran) - len(named),
+	}
 	if p.hasLastEventID {
 		offer.lastID = strconv.FormatInt(p.lastEventID, 10)
 	}
@@ -65,9 +70,11 @@
 	answer, err := g.offer(answerCtx, offer)
 	if err != nil {
 		cancel()
+		request.recordSearch(err)
 		return nil, err
 	}
 	answer.ended = joinFuncs(answer.ended, cancel)
+	request.recordRan(answer.Ran)
 	if !stop() {
 		answer.close()
 		return nil, ctx.Err()
@@ -82,9 +89,18 @@
 	}
 }
 
-// unreachable reports whether the servers of a request can't be reached from here.
+// unreachable reports whether the servers of a request can't be reached from here. If only some
+// can, and no peer is better off, they are.
 func (g *Gateway) unreachable(now time.Time, c *call) bool {
-	return g.Links != nil && g.Links.Unreachable(now, c.service)
+	if g.Links == nil || !g.Links.Unreachable(now, c.service) {
+		return false
+	}
+	return !g.Links.SomeUp(now, c.service.Name) || c.relayed == nil && g.peerUsable(now, c.service.Name)
+}
+
+// peerUsable reports whether there is a peer that may reach a service.
+func (g *Gateway) peerUsable(now time.Time, service deployment.ServiceName) bool {
+	return g.Peers != nil && g.Peers.Usable(now, g.refusals.recent(now, service))
 }
 
 // mustRelay reports whether a request can only be served by a peer.
@@ -116,7 +132,24 @@
 // mayTakeLater reports whether a request that no peer has taken may be taken in a moment.
 func mayTakeLater(err error) bool {
 	var noPeer *noPeerError
-	return errors.As(err, &noPeer) || errors.Is(err, errBudgetSpent)
+	var refused *refusedError
+	noCapacity := errors.As(err, &refused) && refused.Reason == relay.ReasonNoCapacity
+	return errors.As(err, &noPeer) || errors.Is(err, errBudgetSpent) || noCapacity
+}
+
+// recordSearch records what the search for a peer tells of servers that may have run the stream.
+func (p *pathRequest) recordSearch(err error) {
+	var unknown *relayUnknownError
+	if errors.As(err, &unknown) {
+		p.recordRan(unknown.ran)
+	}
+}
+
+// recordRan records the first stages that may have run the stream in a search for a peer.
+func (p *pathRequest) recordRan(ran []deployment.BackendID) {
+	if p.stream != nil {
+		p.stream.recordSearch(ran)
+	}
 }
 
 // sleep waits. It returns false if ctx ends before.
@@ -148,6 +181,20 @@
 	s.notRunCause = nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.addRan(ran)
+}
+
+// recordSearch records a search for a peer that may have run the stream. It may be called while
+// the stream is in flight.
+func (s *stream) recordSearch(ran []deployment.BackendID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.searches++
+	s.addRan(ran)
+}
+
+// addRan is called with mu held.
+func (s *stream) addRan(ran []deployment.BackendID) {
 	s.arrived = true
 	for _, id := range ran {
 		s.ran[id] = true
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -195,6 +195,10 @@
 
 func (t *Tracker) tick(now time.Time) {
 	gap := now.Sub(t.calledAt)
+	if gap <= 0 && !t.calledAt.IsZero() {
+		t.expireProof(now)
+		return // callers may be late with their time
+	}
 	t.calledAt = now
 	t.clock += min(max(gap, 0), maxPollGap)
 	if gap >= pauseGap {
--- a/internal/relay/available.go
+++ b/internal/relay/available.go
@@ -6,10 +6,10 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 )
 
-// Reaching reports whether a peer is known to reach backend servers and may be chosen.
-func (d *Directory) Reaching(now time.Time) bool {
-	for _, state := range d.peers {
-		if state.usable(now) && state.reachNow(now) == reachesServers {
+// Usable reports whether a peer that is not in tried may be chosen.
+func (d *Directory) Usable(now time.Time, tried map[deployment.InstanceID]bool) bool {
+	for id, state := range d.peers {
+		if !tried[id] && state.usable(now) {
 			return true
 		}
 	}
@@ -22,11 +22,11 @@
 	return ok && state.reachNow(now) == cutOff
 }
 
-// Reaching does the same as Directory.Reaching.
-func (s *SharedDirectory) Reaching(now time.Time) bool {
+// Usable does the same as Directory.Usable.
+func (s *SharedDirectory) Usable(now time.Time, tried map[deployment.InstanceID]bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.directory.Reaching(now)
+	return s.directory.Usable(now, tried)
 }
 
 // CutOff does the same as Directory.CutOff.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -57,8 +57,12 @@
 		return notSent(&NoKeyError{Peer: to.ID})
 	}
 	data, err := Encode(request)
-	if err != nil {
-		return notSent(err)
+	var tooLarge *TooLargeError
+	switch {
+	case errors.As(err, &tooLarge):
+		return NotRun{Reason: ReasonTooLarge, Cause: err}
+	case err != nil:
+		return NotRun{Reason: ReasonInvalid, Cause: err}
 	}
 	response, err := c.transport.Send(ctx, to.Address, hop(to, &request, data))
 	if err != nil {
--- a/internal/router/linksstate.go
+++ b/internal/router/linksstate.go
@@ -12,8 +12,8 @@
 // its links to the backend servers.
 const linksStateInterval = time.Second
 
-// outOfReach reports whether this instance reaches no server of one of the services, so that
-// it can't serve in the place of others.
+// outOfReach reports whether this instance reaches no server of any service, so that it can't
+// serve in the place of others. One that lacks some service only refuses requests for it.
 func (r *Router) outOfReach(now time.Time) bool {
 	if r.links.Calm(now) {
 		return false
@@ -24,15 +24,15 @@
 	}
 	services := table.Services()
 	for i := range services {
-		if r.links.Unreachable(now, &services[i]) {
-			return true
+		if !r.links.Unreachable(now, &services[i]) {
+			return false
 		}
 	}
-	return false
+	return len(services) > 0
 }
 
 // zoneOutOfReach reports whether this instance does not reach most of the model servers of its
-// zone, so that it can't give them orders.
+// zone, and its links are at fault, so that it can't give them orders.
 func (r *Router) zoneOutOfReach() bool {
 	now := time.Now()
 	if r.links.Calm(now) {
@@ -41,7 +41,7 @@
 	down, all := 0, 0
 	for _, stage := range r.fleet.ZoneStages() {
 		all++
-		if r.links.CutOff(stage.Service) || r.links.Down(now, stage.Address) {
+		if r.links.CutOff(stage.Service) || r.links.Down(now, stage.Address) && r.fleet.ReachedByOthers(now, stage.ID) {
 			down++
 		}
 	}
