--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -113,13 +113,6 @@
 	arrived bool                   // a backend server has got the request
 }
 
-// bufferedReservation is a backend server that is reserved for an attempt.
-type bufferedReservation struct {
-	inFlight   *backend.InFlightRequest
-	connection *backend.Connection // nil if none was opened yet
-	retry      bool                // a retry was taken from the budget for it
-}
-
 var errNoBackend = errors.New("no backend server is available for the service")
 
 // run sends attempts until the outcome of one is final. It stops earlier without another
@@ -159,135 +152,6 @@
 	return b.best
 }
 
-// takeNext returns the reservation for which the last attempt was left, or else makes one. It
-// returns nil without enough time.
-func (b *bufferedRequest) takeNext(ctx context.Context) (*bufferedReservation, error) {
-	now := time.Now()
-	if next := b.next; next != nil {
-		if err := b.gateway.ends.admit(now, b.call); err != nil {
-			return nil, err // run gives the reservation back
-		}
-		b.next = nil
-		return next, nil
-	}
-	if ctx.Err() != nil || b.call.remaining(now) < minAttemptTime {
-		return nil, nil
-	}
-	return b.reserve(now, b.gateway.Fleet.Pick)
-}
-
-// picker chooses a backend server of a plain service, as backend.Fleet.Pick does.
-type picker func(now time.Time, service *deployment.Service, zone deployment.Zone, tried map[deployment.BackendID]bool) (*backend.InFlightRequest, bool)
-
-// reserve chooses a backend server for the next attempt. It returns nil without one, or without
-// the retry budget. The error is a *heldBackError, errCutOff or a
-// *limitReachedError.
-func (b *bufferedRequest) reserve(now time.Time, pick picker) (*bufferedReservation, error) {
-	if err := b.gateway.ends.admit(now, b.call); err != nil {
-		return nil, err
-	}
-	if b.gateway.unreachable(now, b.call) {
-		return nil, errCutOff
-	}
-	retry := b.arrived
-	budget := b.gateway.budget(b.call.service.Name)
-	if retry && !budget.CanTake(now, false) {
-		return nil, nil
-	}
-	inFlight, ok := pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
-	if !ok && b.gateway.Fleet.Limited(b.call.service.Name) {
-		return nil, newLimitReachedError(b.call.service.Name)
-	}
-	if !ok {
-		return nil, nil
-	}
-	if retry && !budget.Take(now, false) {
-		inFlight.Done(now, backend.Inconclusive)
-		return nil, nil
-	}
-	return &bufferedReservation{inFlight: inFlight, retry: retry}, nil
-}
-
-// reserveConnected reserves an available backend server in place of one that is slow, and opens
-// a connection to it. It returns nil without one.
-func (b *bufferedRequest) reserveConnected(ctx context.Context) *bufferedReservation {
-	b.arrived = true // as far as is known while the attempt is in flight
-	// Without another backend server the attempt goes on: its server may only be slow.
-	reserved, _ := b.reserve(time.Now(), b.gateway.Fleet.PickAvailable)
-	if reserved == nil {
-		return nil
-	}
-	connection, err := b.gateway.transport.Connect(ctx, reserved.inFlight.Backend.Address)
-	if err == nil {
-		reserved.connection = connection
-		return reserved
-	}
-	result := backend.Failed
-	if ctx.Err() != nil {
-		result = backend.Inconclusive
-	}
-	b.tried[reserved.inFlight.Backend.ID] = true
-	b.giveBack(reserved, result)
-	return nil
-}
-
-// releaseNext gives a reservation back that the request no longer needs.
-func (b *bufferedRequest) releaseNext() {
-	if b.next == nil {
-		return
-	}
-	if b.next.connection != nil {
-		b.next.connection.Close()
-	}
-	b.giveBack(b.next, backend.Inconclusive)
-}
-
-// giveBack gives a reservation back that was not used.
-func (b *bufferedRequest) giveBack(reserved *bufferedReservation, result backend.Result) {
-	reserved.inFlight.Done(time.Now(), result)
-	if reserved.retry {
-		b.gateway.budget(b.call.service.Name).GiveBack()
-	}
-}
-
-// leaveSlowAttempt cancels an attempt that takes too long once another backend server is
-// reserved in its place. It returns a function that ends this, which must be called after the
-// attempt.
-func (b *bufferedRequest) leaveSlowAttempt(ctx context.Context, cancel context.CancelFunc) (stop func()) {
-	timeout, ok := b.attemptTimeout()
-	if !ok {
-		return func() {}
-	}
-	ctx, stopWaiting := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for wait := timeout; b.sleep(ctx, wait); wait = nextServerInterval {
-			b.next = b.reserveConnected(ctx)
-			if b.next != nil || b.peerMayServe(time.Now()) {
-				cancel()
-				return
-			}
-		}
-	}()
-	return func() {
-		stopWaiting()
-		<-done
-	}
-}
-
-// sleep waits. It returns false if ctx ends before.
-func (b *bufferedRequest) sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // record keeps the best outcome: a response before unknown before notRun, and a response
 // with a status below 500 before others. Once an attempt may have run, the rejection of a
 // later one must not replace it by notRun.
@@ -362,14 +226,6 @@
 	}
 }
 
-// attemptTimeout returns after what time an attempt is left for another backend server. It
-// returns false if it must not be: the request is not idempotent or has no attempt left.
-func (b *bufferedRequest) attemptTimeout() (time.Duration, bool) {
-	route := b.call.decision.Route
-	mayLeave := route.Kind == deployment.Idempotent && b.ran+1 < route.MaxAttempts && b.call.attempts < maxBufferedAttempts
-	return attemptTimeoutTargets * route.TargetLatency, mayLeave && route.TargetLatency > 0
-}
-
 // backendResult returns the result that an outcome implies for the backend server's
 // ejection. After the client has disconnected, it is inconclusive.
 func backendResult(clientCtx context.Context, o outcome) backend.Result {
@@ -423,14 +279,6 @@
 	return responded{status: response.StatusCode, header: response.Header, body: body}
 }
 
-// send sends an attempt over the open connection of a reservation, or over a new one.
-func (b *bufferedRequest) send(ctx context.Context, reserved *bufferedReservation, request backend.Request) (*backend.Response, error) {
-	if reserved.connection != nil {
-		return reserved.connection.Send(ctx, request)
-	}
-	return b.gateway.transport.Send(ctx, reserved.inFlight.Backend.Address, request)
-}
-
 // notExecuted reports whether a backend server rejected the request without executing it.
 func notExecuted(response *http.Response) bool {
 	return response.Header.Get(platform.HeaderNotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -149,8 +149,16 @@
 	d.origin.Peers.SetPeers(d.peers)
 }
 
+// relayResult is a response of origin, read whole.
+type relayResult struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+}
+
 // send sends a request to origin and reads the whole response.
-func (d *relayDeployment) send(method, path string) (*http.Response, string, error) {
+func (d *relayDeployment) send(method, path string) relayResult {
 	d.t.Helper()
 	request, err := http.NewRequest(method, d.front.URL+path, strings.NewReader("body"))
 	assert.NilError(d.t, err)
@@ -161,7 +169,7 @@
 	assert.NilError(d.t, err)
 	data, err := io.ReadAll(response.Body)
 	assert.NilError(d.t, response.Body.Close())
-	return response, string(data), err
+	return relayResult{status: response.StatusCode, header: response.Header, body: string(data), err: err}
 }
 
 // TestRelayedAnswersAreTheServers guards against answers that change on the way through a peer.
@@ -178,13 +186,13 @@
 	}
 	for _, c := range cases {
 		before := d.runs.Load()
-		response, body, err := d.send(c.method, c.path)
-		assert.NilError(t, err)
-		assert.Equal(t, response.StatusCode, c.status, c.path)
-		assert.Equal(t, body, c.body)
-		assert.Equal(t, response.Header.Get(platform.HeaderSignature), "signed-r-1")
-		assert.Equal(t, response.Header.Get("X-Own"), "kept")
-		for name := range response.Header {
+		result := d.send(c.method, c.path)
+		assert.NilError(t, result.err)
+		assert.Equal(t, result.status, c.status, c.path)
+		assert.Equal(t, result.body, c.body)
+		assert.Equal(t, result.header.Get(platform.HeaderSignature), "signed-r-1")
+		assert.Equal(t, result.header.Get("X-Own"), "kept")
+		for name := range result.header {
 			assert.Assert(t, !strings.Contains(strings.ToLower(name), "relay"), name)
 		}
 		assert.Equal(t, d.runs.Load()-before, int64(1), c.path)
@@ -195,19 +203,19 @@
 // not run, or runs again.
 func TestRelayedOutcomeStaysUnknown(t *testing.T) {
 	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
-	response, _, err := d.send(http.MethodPost, "/once/breaks")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
-	assert.Equal(t, response.Header.Get(platform.HeaderRetryAfter), "")
+	result := d.send(http.MethodPost, "/once/breaks")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusBadGateway)
+	assert.Equal(t, result.header.Get(platform.HeaderRetryAfter), "")
 	assert.Equal(t, d.runs.Load(), int64(1))
 }
 
 // TestRelayedStreamIsBrokenOff guards against a truncated answer that looks whole.
 func TestRelayedStreamIsBrokenOff(t *testing.T) {
 	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
-	_, body, err := d.send(http.MethodPost, "/stream/breaks")
-	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
-	assert.Equal(t, body, eventText(1))
+	result := d.send(http.MethodPost, "/stream/breaks")
+	assert.ErrorIs(t, result.err, io.ErrUnexpectedEOF)
+	assert.Equal(t, result.body, eventText(1))
 	assert.Equal(t, d.runs.Load(), int64(1))
 }
 
@@ -230,10 +238,10 @@
 			d := newRelayDeployment(t, relayVersions{origin: 2, peer: c.peer})
 			c.change(d)
 			for _, path := range []string{"/any/x", "/stream/whole"} {
-				response, _, err := d.send(http.MethodPost, path)
-				assert.NilError(t, err)
-				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-				assert.Assert(t, response.Header.Get(platform.HeaderRetryAfter) != "")
+				result := d.send(http.MethodPost, path)
+				assert.NilError(t, result.err)
+				assert.Equal(t, result.status, http.StatusServiceUnavailable)
+				assert.Assert(t, result.header.Get(platform.HeaderRetryAfter) != "")
 			}
 			assert.Equal(t, d.runs.Load(), int64(0))
 		})
@@ -283,9 +291,9 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	response, _, err := d.send(http.MethodGet, "/two/x")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
+	result := d.send(http.MethodGet, "/two/x")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusOK)
 	assert.Equal(t, d.runs.Load(), int64(1))
 }
 
@@ -294,10 +302,10 @@
 func TestPeerThatDiesDoesNotEndRelaying(t *testing.T) {
 	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
 	d.addPeer("dies", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
-	response, body, err := d.send(http.MethodPost, "/resumable/whole")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
-	assert.Equal(t, body, eventText(1)+eventText(2)+eventText(3))
+	result := d.send(http.MethodPost, "/resumable/whole")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusOK)
+	assert.Equal(t, result.body, eventText(1)+eventText(2)+eventText(3))
 	assert.Assert(t, !d.origin.Peers.CutOff(time.Now(), "peer"))
 }
 
@@ -310,11 +318,11 @@
 			relay.WriteNotRun(w, relay.ReasonNotAllowed, 0)
 		})
 	}
-	_, _, err := d.send(http.MethodGet, "/any/x")
-	assert.NilError(t, err)
-	response, _, err := d.send(http.MethodGet, "/any/x")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
+	result := d.send(http.MethodGet, "/any/x")
+	assert.NilError(t, result.err)
+	result = d.send(http.MethodGet, "/any/x")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusOK)
 }
 
 // TestServiceThatCrashedDoesNotHideAnother guards against peers that refuse requests for one
@@ -322,12 +330,12 @@
 func TestServiceThatCrashedDoesNotHideAnother(t *testing.T) {
 	d := newRelayDeployment(t, relayVersions{origin: 1, peer: 1})
 	d.origin.learnRefusal("plain", &refusedError{peer: "peer", NotRun: relay.NotRun{Reason: relay.ReasonCutOff}})
-	response, _, err := d.send(http.MethodGet, "/any/x")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	response, _, err = d.send(http.MethodPost, "/stream/whole")
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
+	result := d.send(http.MethodGet, "/any/x")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusServiceUnavailable)
+	result = d.send(http.MethodPost, "/stream/whole")
+	assert.NilError(t, result.err)
+	assert.Equal(t, result.status, http.StatusOK)
 }
 
 // TestSpentBudgetDoesNotBurnAttempts guards against a relayed stream that uses up its attempts at
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -163,7 +163,7 @@
 	c.endedServer.Store(true)
 }
 
-func heldCall(t *testing.T) (*Gateway, *call, *backend.Fleet) {
+func heldCall() (*Gateway, *call, *backend.Fleet) {
 	now := time.Now()
 	fleet, service := testFleet(now)
 	c := &call{id: "r", service: service, started: now, attempts: 1, deadline: now.Add(time.Minute)}
@@ -174,7 +174,7 @@
 // TestHeldRequestIsNotSentAlongAReservedPath guards against a request that ends one more server
 // since its next path was reserved before it came to be held.
 func TestHeldRequestIsNotSentAlongAReservedPath(t *testing.T) {
-	g, c, fleet := heldCall(t)
+	g, c, fleet := heldCall()
 	next := testReservation(t, fleet, time.Now())
 	s := &stream{gateway: g, call: c, ran: map[deployment.BackendID]bool{"i-1": true}, lastEventAt: time.Now(), next: &next}
 	b := &bufferedRequest{gateway: g, call: c, next: &bufferedReservation{inFlight: testReservation(t, fleet, time.Now()).inFlight}}
@@ -188,7 +188,7 @@
 // TestBegunStreamOnASilentStageIsNotAbandoned guards against a resumed stream that is cut as
 // held although its answer has begun and its stage is only silent.
 func TestBegunStreamOnASilentStageIsNotAbandoned(t *testing.T) {
-	g, c, fleet := heldCall(t)
+	g, c, fleet := heldCall()
 	stream := g.monitor.add(c, testReservation(t, fleet, time.Now()), true, func() {})
 	holdRequest(g, c)
 	fleet.MarkSuspect(time.Now(), "10.0.0.1:80")
@@ -199,7 +199,7 @@
 // TestSearchDoesNotRaceWithTheNextAttempt guards against a search that reads what the next
 // attempt of its stream writes.
 func TestSearchDoesNotRaceWithTheNextAttempt(t *testing.T) {
-	g, c, fleet := heldCall(t)
+	g, c, fleet := heldCall()
 	fleet.MarkSuspect(time.Now(), "10.0.0.1:80")
 	s := &stream{gateway: g, call: c, ran: map[deployment.BackendID]bool{}, lastEventAt: time.Now(), headerWritten: true}
 	first := testReservation(t, fleet, time.Now())
