--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -33,6 +33,10 @@
 		relay.WriteNotRun(state, refused.reason, refused.retryAfter)
 		return
 	}
+	if request.Unpaid && !g.budget(service.Name).Take(now, isResumed(&request)) {
+		relay.WriteNotRun(state, relay.ReasonNoRetries, staleRetryAfter)
+		return
+	}
 	c := g.relayedCall(now, &request, service)
 	if err := g.ends.admit(now, c); err != nil {
 		g.respondError(state, c, notRunResponse(err))
@@ -76,13 +80,18 @@
 		},
 		parts: platform.ParsePromptParts(request.Header),
 		relayed: &relayedFrom{
-			instance: request.From, ran: request.Ran, resumed: request.Repeat && request.Header.Get(platform.HeaderLastEventID) != "",
+			instance: request.From, ran: request.Ran, resumed: isResumed(request),
 		},
 	}
 	c.keys = keysOf(c)
 	return c
 }
 
+// isResumed reports whether the client of a relayed request has a part of the response.
+func isResumed(request *relay.Request) bool {
+	return request.Repeat && request.Header.Get(platform.HeaderLastEventID) != ""
+}
+
 // relayedFrom is what a peer has told of a request that it relayed.
 type relayedFrom struct {
 	instance deployment.InstanceID
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -12,7 +12,6 @@
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/relay"
-	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -97,8 +96,8 @@
 func (e *relayUnknownError) Unwrap() error { return e.cause }
 
 // offer relays a request to the peers, one after the other, until one takes it. Errors are a
-// *noPeerError, a *refusedError, errBudgetSpent, all of which mean that no server has run it in
-// this attempt, or a *relayUnknownError.
+// *noPeerError or a *refusedError, both of which mean that no server has run it in this attempt,
+// or a *relayUnknownError.
 func (g *Gateway) offer(ctx context.Context, offer *relayOffer) (*relayedAnswer, error) {
 	tried := g.refusals.recent(time.Now(), offer.call.service.Name)
 	maps.Copy(tried, offer.avoid)
@@ -154,16 +153,20 @@
 	}
 }
 
-// offerTo relays a request to one peer.
+// offerTo relays a request to one peer. A retry is taken from this instance's part of the budget
+// or, once that is spent, by the peer from its own.
 func (g *Gateway) offerTo(ctx context.Context, offer *relayOffer, peer relay.Peer) (*relayedAnswer, error) {
 	now := time.Now()
 	budget := g.budget(offer.call.service.Name)
-	if offer.repeat && !budget.Take(now, offer.resumed) {
-		return nil, errBudgetSpent
-	}
+	paid := offer.repeat && budget.Take(now, offer.resumed)
+	request := g.relayRequest(now, offer)
+	request.Unpaid = offer.repeat && !paid
 	ctx, cancel := g.offerContext(ctx, offer)
-	outcome := g.relayClient.Send(ctx, peer, g.relayRequest(now, offer))
-	err := g.relayError(peer, outcome, offer, budget)
+	outcome := g.relayClient.Send(ctx, peer, request)
+	if _, notRun := outcome.(relay.NotRun); notRun && paid {
+		budget.GiveBack()
+	}
+	err := g.relayError(peer, outcome, offer)
 	g.logRelay(offer, peer, time.Since(now), err)
 	answered, ok := outcome.(relay.Answered)
 	if !ok {
@@ -190,14 +193,10 @@
 	return ctx, timer.Stop
 }
 
-// relayError returns the error of an outcome, nil if the peer has answered. A retry is given
-// back if the request was not run.
-func (g *Gateway) relayError(peer relay.Peer, outcome relay.Outcome, offer *relayOffer, budget *retrybudget.WindowBudget) error {
+// relayError returns the error of an outcome, nil if the peer has answered.
+func (g *Gateway) relayError(peer relay.Peer, outcome relay.Outcome, offer *relayOffer) error {
 	switch outcome := outcome.(type) {
 	case relay.NotRun:
-		if offer.repeat {
-			budget.GiveBack()
-		}
 		return &refusedError{peer: peer.ID, NotRun: outcome}
 	case relay.Unknown:
 		if len(outcome.Ran) == 0 {
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -134,7 +134,7 @@
 	var noPeer *noPeerError
 	var refused *refusedError
 	noCapacity := errors.As(err, &refused) && refused.Reason == relay.ReasonNoCapacity
-	return errors.As(err, &noPeer) || errors.Is(err, errBudgetSpent) || noCapacity
+	return errors.As(err, &noPeer) || noCapacity
 }
 
 // recordSearch records what the search for a peer tells of servers that may have run the stream.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -101,7 +101,7 @@
 	wire := &wireRequest{
 		From: string(request.From), ID: cbor.ByteString(request.ID), Remaining: int64(request.Remaining),
 		Version: int64(request.Version), Service: string(request.Service), Route: routeToWire(request.Route),
-		Priority: request.Priority, Team: string(request.Team), Repeat: request.Repeat, Method: request.Method,
+		Priority: request.Priority, Team: string(request.Team), Repeat: request.Repeat, Unpaid: request.Unpaid, Method: request.Method,
 		URI: cbor.ByteString(request.URI), Host: cbor.ByteString(request.Host),
 		Header: headerToWire(request.Header), Body: request.Body,
 	}
@@ -123,7 +123,7 @@
 	request := Request{
 		From: deployment.InstanceID(wire.From), ID: string(wire.ID), Remaining: time.Duration(wire.Remaining),
 		Version: deployment.Version(wire.Version), Service: deployment.ServiceName(wire.Service), Route: route,
-		Priority: wire.Priority, Team: deployment.Team(wire.Team), Repeat: wire.Repeat, Method: wire.Method,
+		Priority: wire.Priority, Team: deployment.Team(wire.Team), Repeat: wire.Repeat, Unpaid: wire.Unpaid, Method: wire.Method,
 		URI: string(wire.URI), Host: string(wire.Host), Header: header, Body: wire.Body,
 	}
 	for _, id := range wire.Ran {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,8 +48,10 @@
 	Priority  int
 	Team      deployment.Team // may be empty
 	// Repeat is set if an earlier attempt may have reached a backend server. The sender has
-	// taken this retry from the budget.
+	// taken this retry from its part of the budget unless Unpaid is set: then the receiver takes
+	// it from its own, or refuses the request.
 	Repeat bool
+	Unpaid bool
 	Ran    []deployment.BackendID // first stages that may have run the request
 	Method string
 	URI    string // path and query as received from the client
@@ -136,5 +138,6 @@
 	ReasonTooLarge           Reason = "too-large"
 	ReasonTooSlow            Reason = "too-slow"
 	ReasonInvalid            Reason = "invalid"
+	ReasonNoRetries          Reason = "no-retries" // the receiver's part of the budget is spent
 	ReasonNotSent            Reason = "not-sent"
 )
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -14,6 +14,7 @@
 	Priority  int             `cbor:"7,keyasint,omitempty"`
 	Team      string          `cbor:"8,keyasint,omitempty"`
 	Repeat    bool            `cbor:"9,keyasint,omitempty"`
+	Unpaid    bool            `cbor:"16,keyasint,omitempty"`
 	Ran       []string        `cbor:"10,keyasint,omitempty"`
 	Method    string          `cbor:"11,keyasint"`
 	URI       cbor.ByteString `cbor:"12,keyasint"`
