--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -402,11 +404,32 @@
 	}
 }
 
+// firstPort and portCount are a range of ports below those that the system gives to outgoing
+// connections, one of which could take a port before the router listens on it.
+const (
+	firstPort = 12000
+	portCount = 20000
+)
+
+// portsTaken counts the ports that freePort has tried. It begins elsewhere in each process.
+var portsTaken = func() *atomic.Int64 {
+	var count atomic.Int64
+	count.Store(int64(os.Getpid()) * 7919)
+	return &count
+}()
+
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, listener.Close()) }()
-	return listener.Addr().(*net.TCPAddr).Port
+	for range portCount {
+		port := firstPort + int(portsTaken.Add(1)%portCount)
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue // another process listens on it
+		}
+		assert.NilError(t, listener.Close())
+		return port
+	}
+	t.Fatal("no port is free")
+	return 0
 }
 
 func (sr *scriptRunner) startRouter(name, zone string) {
