Log the rank and the stated size of each request

Change: platform.ParseRequestSize reads both, with malformed, negative and absurd counts as not stated; the line "request ended" gets priority, prompt-tokens and max-output-tokens. Result: platform and gateway tests pass; no decision uses the sizes yet.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -173,6 +173,14 @@
 // its output.
 func (e *Engine) TypicalTokens() float64 { return e.TypicalPromptTokens + e.TypicalOutputTokens/2 }
 
+// RequestSize is the size of a request to a model, in tokens, as its client states it. A field
+// is 0 if it is not stated.
+type RequestSize struct {
+	PromptTokens    int
+	MaxOutputTokens int // bound on the output
+	ExpectedOutput  int // estimate of the output; often far off
+}
+
 // Accelerator is a type of accelerator card.
 type Accelerator struct {
 	Memory     Megabytes
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -60,7 +60,11 @@
 		zap.Int("tries", c.attempts),
 	}
 	if c.decision.Route != nil {
-		fields = append(fields, zap.String("route", string(c.decision.Route.Name)), zap.String("team", string(c.decision.Team)))
+		fields = append(fields, zap.String("route", string(c.decision.Route.Name)), zap.String("team", string(c.decision.Team)),
+			zap.Int("priority", c.decision.Priority))
+	}
+	if c.size.PromptTokens > 0 {
+		fields = append(fields, zap.Int("prompt-tokens", c.size.PromptTokens), zap.Int("max-output-tokens", c.size.MaxOutputTokens))
 	}
 	if c.relayed != nil {
 		fields = append(fields, zap.String("relayed-from", string(c.relayed.instance)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,8 +159,9 @@
 	service  *deployment.Service
 	version  deployment.Version
 	request  backend.Request
-	attempts int                       // including those that did not run
-	reroutes atomic.Int64              // of the current attempt and earlier ones
+	attempts int          // including those that did not run
+	reroutes atomic.Int64 // of the current attempt and earlier ones
+	size     deployment.RequestSize
 	parts    []deployment.PromptPartID // of the prompt, in order
 	keys     []poison.Key
 	// endedServer is set once a backend server has ended during an attempt that had not
@@ -238,6 +239,7 @@
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, ID: c.id,
 		Header: forwardedHeader(r.Header, decision.Team), Body: body,
 	}
+	c.size = platform.ParseRequestSize(r.Header)
 	c.parts = platform.ParsePromptParts(r.Header)
 	c.keys = keysOf(c)
 	g.ends.admitTrial(now, c)
