--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// RejectedOnce returns the backend server at an address if it has rejected one request, and none
+// before since it last accepted one.
+func (f *Fleet) RejectedOnce(address deployment.Address) (deployment.Backend, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.byAddress(address)
+	if s == nil || s.rejections != 1 {
+		return deployment.Backend{}, false
+	}
+	return s.Backend, true
+}
+
 // rejectionBackoff returns how long a stage gets no new requests after a number of
 // consecutive rejections. A stage at capacity still accepts some requests in
 // between. A stage that has started to drain, but whose entry in the backend list
--- a/internal/backend/observation.go
+++ b/internal/backend/observation.go
@@ -46,12 +46,7 @@
 	case StageAccepted:
 		s.rejections = 0
 	case StageSuspected:
-		if s.suspicions == nil {
-			s.suspicions = map[deployment.InstanceID]time.Time{}
-		}
-		if countSuspicion(now, s.suspicions, from) >= minSuspectingPeers {
-			s.markSuspect(now)
-		}
+		s.recordPeerSuspicion(now, from)
 	case LinkFailed:
 		if s.link.recentContact(now) {
 			return LinkWorks, true
@@ -63,6 +58,16 @@
 	return 0, false
 }
 
+// recordPeerSuspicion records that another instance suspects a stage.
+func (s *server) recordPeerSuspicion(now time.Time, from deployment.InstanceID) {
+	if s.suspicions == nil {
+		s.suspicions = map[deployment.InstanceID]time.Time{}
+	}
+	if countSuspicion(now, s.suspicions, from) >= minSuspectingPeers {
+		s.markSuspect(now)
+	}
+}
+
 // countSuspicion adds the suspicion of another instance to recent ones, and returns how many
 // instances share it.
 func countSuspicion(now time.Time, recent map[deployment.InstanceID]time.Time, from deployment.InstanceID) int {
--- a/internal/backend/observation_test.go
+++ b/internal/backend/observation_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 // TestRejectionsOfPeersCount guards against stages that reject everything and get requests
@@ -46,3 +48,27 @@
 	f.RecordObservation(start.Add(2*suspicionAge), "p1", "i-1", StageSuspected)
 	assert.Equal(t, len(f.Suspects()), 1)
 }
+
+// TestEndedStageIsInNoPath guards against a later stage of new paths that has ended, since peers
+// which had contact shortly before its end tell that their links work.
+func TestEndedStageIsInNoPath(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	f.MarkLinkSuspect(start, f.servers["i-1"].Address)
+	f.RecordObservation(start, "p1", "i-1", LinkWorks)
+	assert.Equal(t, len(f.Stages(start, service)), 1, "only the link is at fault")
+	f.MarkEnded(start, poison.Incarnation{Server: "i-1", StartedAt: 1})
+	assert.Equal(t, len(f.Stages(start, service)), 1, "an earlier incarnation has ended")
+	f.MarkEnded(start, poison.IncarnationOf(f.servers["i-1"].Backend))
+	assert.Equal(t, len(f.Stages(start, service)), 0)
+}
+
+// TestEndToldByOnePeerIsNotEnough guards against a peer that lies about ends.
+func TestEndToldByOnePeerIsNotEnough(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	incarnation := poison.IncarnationOf(f.servers["i-1"].Backend)
+	f.RecordPeerEnd(start, "p1", incarnation)
+	f.RecordPeerEnd(start, "p1", incarnation)
+	assert.Equal(t, len(f.Stages(start, service)), 1)
+	f.RecordPeerEnd(start, "p2", incarnation)
+	assert.Equal(t, len(f.Stages(start, service)), 0)
+}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -5,6 +5,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
+	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 const (
@@ -50,6 +51,34 @@
 	return fresh
 }
 
+// MarkEnded keeps a stage whose process has ended out of every place of new paths.
+func (f *Fleet) MarkEnded(now time.Time, incarnation poison.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.running(incarnation); s != nil {
+		s.markSuspect(now)
+	}
+}
+
+// RecordPeerEnd records that another instance has found the process of a stage ended. As with
+// suspicions, the word of one instance alone does not keep a stage out of paths.
+func (f *Fleet) RecordPeerEnd(now time.Time, from deployment.InstanceID, incarnation poison.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.running(incarnation); s != nil {
+		s.recordPeerSuspicion(now, from)
+	}
+}
+
+// running returns the state of an incarnation, nil if it is not the one that is listed.
+func (f *Fleet) running(incarnation poison.Incarnation) *server {
+	s, ok := f.servers[incarnation.Server]
+	if !ok || poison.IncarnationOf(s.Backend) != incarnation {
+		return nil
+	}
+	return s
+}
+
 // RecordAnswered records that a stage has answered. It stays out of new paths while it is
 // suspected, but its layers need not be loaded elsewhere.
 func (f *Fleet) RecordAnswered(now time.Time, id deployment.BackendID) {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -258,6 +258,9 @@
 	if err != nil {
 		var notSent *backend.NotSentError
 		if errors.As(err, &notSent) {
+			if reserved.retry {
+				b.gateway.budget(b.call.service.Name).GiveBack()
+			}
 			return notRun{cause: err}
 		}
 		return unknown{cause: err}
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,14 +13,16 @@
 )
 
 const (
-	// endCheckDelay is the time between a failed attempt and the check whether its backend
-	// server has ended.
+	// endCheckDelay is the time after which a backend server that still accepts connections
+	// right after a failed attempt is checked once more: a process may close its connections
+	// before its listener.
 	endCheckDelay   = 30 * time.Millisecond
 	endCheckTimeout = 300 * time.Millisecond
 	// linkCheckTimeout is how long it may take to show that a refused connection is due to the
 	// server, not to this instance's own links. linkCheckInterval is the interval of the checks.
-	linkCheckTimeout  = 600 * time.Millisecond
-	linkCheckInterval = 20 * time.Millisecond
+	linkCheckTimeout     = 600 * time.Millisecond
+	minLinkCheckInterval = time.Millisecond
+	linkCheckInterval    = 20 * time.Millisecond
 )
 
 // suspectedEnd is a backend server that may have ended.
@@ -29,14 +33,20 @@
 	at time.Time
 }
 
-// checkEnds checks which of the suspected backend servers have ended, and waits for the
+// checkEnds checks side by side which of the suspected backend servers have ended, and waits for the
 // results. It reports whether one has.
 func (e *endWatch) checkEnds(ctx context.Context, suspected []suspectedEnd) bool {
-	ended := false
+	var ended atomic.Bool
+	var checks sync.WaitGroup
 	for _, suspect := range suspected {
-		ended = e.checkEnd(ctx, suspect) || ended
+		checks.Go(func() {
+			if e.checkEnd(ctx, suspect) {
+				ended.Store(true)
+			}
+		})
 	}
-	return ended
+	checks.Wait()
+	return ended.Load()
 }
 
 // checkEnd checks whether a backend server has ended, unless that is known.
@@ -68,11 +78,12 @@
 // ended; where it gets no response, the machine or the network may have failed.
 func (e *endWatch) runCheck(suspect suspectedEnd, done chan struct{}) {
 	incarnation := poison.IncarnationOf(suspect.server)
-	time.Sleep(endCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-	refused := e.transport.Refused(ctx, suspect.server.Address)
+	refused := e.refuses(suspect.server.Address)
+	if !refused {
+		time.Sleep(endCheckDelay)
+		refused = e.refuses(suspect.server.Address)
+	}
 	refusedAt := time.Now()
-	cancel()
 	if refused && e.reachesOthers(suspect.server.Address, refusedAt) && e.config.Fleet.Serving(incarnation) {
 		e.recordEnd(time.Now(), suspect)
 	}
@@ -82,6 +93,13 @@
 	close(done)
 }
 
+// refuses reports whether connections to an address are refused.
+func (e *endWatch) refuses(address deployment.Address) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	return e.transport.Refused(ctx, address)
+}
+
 // reachesOthers reports whether this instance connects to other servers since it could not to
 // one. Otherwise its own links may have failed.
 func (e *endWatch) reachesOthers(address deployment.Address, refusedAt time.Time) bool {
@@ -89,13 +107,15 @@
 	if links == nil {
 		return true
 	}
+	interval := minLinkCheckInterval
 	for time.Since(refusedAt) < linkCheckTimeout {
 		now := time.Now()
 		links.Step(now)
 		if reaches, settled := links.ReachesOthers(now, address, refusedAt); settled {
 			return reaches
 		}
-		time.Sleep(linkCheckInterval)
+		time.Sleep(interval)
+		interval = min(2*interval, linkCheckInterval)
 	}
 	return false
 }
@@ -113,6 +133,7 @@
 	e.mu.Unlock()
 	e.tell(news)
 	if !known {
+		e.config.Fleet.MarkEnded(now, incarnation)
 		e.logEnd(suspect.server, noticedHere, "", len(blamed))
 	}
 }
--- a/internal/gateway/endverdict.go
+++ b/internal/gateway/endverdict.go
@@ -32,6 +32,7 @@
 	e.mu.Unlock()
 	e.tell(own)
 	for _, end := range fresh {
+		e.config.Fleet.RecordPeerEnd(now, from, end.Incarnation)
 		e.logEnd(deployment.Backend{ID: end.Incarnation.Server, StartedAt: time.UnixMilli(end.Incarnation.StartedAt)}, toldByPeer, from, len(end.Blamed))
 	}
 	return news
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -15,6 +15,7 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
 	"mulberryhead.org/mulberryhead/internal/poison"
+	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -38,12 +39,25 @@
 	disconnected, disconnect := context.WithCancel(context.Background())
 	disconnect()
 	notSent := &backend.NotSentError{Address: "10.0.0.1:80", Cause: errors.New("operation was canceled")}
-	s.recordFailure(disconnected, path, notSent)
+	s.recordFailure(disconnected, reservation{path: path}, notSent)
 	assert.Equal(t, len(fleet.Stages(now, service)), 1)
-	s.recordFailure(context.Background(), path, notSent)
+	s.recordFailure(context.Background(), reservation{path: path}, notSent)
 	assert.Equal(t, len(fleet.Stages(now, service)), 0)
 }
 
+// TestUnsentAttemptIsNoRetry guards against a retry budget that is spent on connections which a
+// server that has ended refuses.
+func TestUnsentAttemptIsNoRetry(t *testing.T) {
+	now := time.Now()
+	fleet, _ := testFleet(now)
+	s := &stream{gateway: testGateway(fleet), ran: map[deployment.BackendID]bool{}}
+	reserved := testReservation(t, fleet, now)
+	reserved.budget = retrybudget.NewWindowBudget(now.Add(-time.Hour), retrybudget.Bounds{Reserve: 1, Window: time.Minute}, 1)
+	assert.Assert(t, reserved.budget.Take(now, true))
+	s.recordFailure(context.Background(), reserved, &backend.NotSentError{Cause: errors.New("connection refused")})
+	assert.Assert(t, reserved.budget.Take(now, true))
+}
+
 // TestClientDisconnectIsNotABackendFailure is the same check for buffered requests: a
 // canceled attempt must not count towards the backend server's ejection.
 func TestClientDisconnectIsNotABackendFailure(t *testing.T) {
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -41,7 +41,7 @@
 		outcome, err = s.handleResponse(response, monitored, started)
 		response.Close()
 	} else {
-		s.recordFailure(ctx, path, err)
+		s.recordFailure(ctx, reserved, err)
 	}
 	left := monitored.interrupted.Load()
 	if err != nil && left {
@@ -126,7 +126,7 @@
 		return
 	}
 	if s.hasBegun() {
-		go s.gateway.ends.checkEnds(context.WithoutCancel(ctx), suspected)
+		s.awaitEndCheck(ctx, suspected)
 		return
 	}
 	if s.gateway.ends.checkEnds(ctx, suspected) {
@@ -134,6 +134,24 @@
 	}
 }
 
+// maxEndCheckWait is how long a stream that has begun waits for the check of its stages, so that
+// it is not sent again to one that has ended. In a zone a refused connection takes 0.5 ms.
+const maxEndCheckWait = 8 * time.Millisecond
+
+// awaitEndCheck checks whether stages have ended, and waits for the result for a short time.
+func (s *stream) awaitEndCheck(ctx context.Context, suspected []suspectedEnd) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.gateway.ends.checkEnds(context.WithoutCancel(ctx), suspected)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-time.After(maxEndCheckWait):
+	}
+}
+
 func (s *stream) backendRequest(path pipeline.Path, now time.Time) backend.Request {
 	request := s.call.request
 	request.Header = request.Header.Clone()
@@ -146,10 +164,12 @@
 	return request
 }
 
-// recordFailure records an attempt that got no response.
-func (s *stream) recordFailure(ctx context.Context, path pipeline.Path, err error) {
+// recordFailure records an attempt that got no response. One that was not sent is no retry.
+func (s *stream) recordFailure(ctx context.Context, reserved reservation, err error) {
+	path := reserved.path
 	var notSent *backend.NotSentError
 	if errors.As(err, &notSent) {
+		reserved.giveBackRetry()
 		s.recordNotRun(err)
 		if ctx.Err() == nil && !errors.Is(err, backend.ErrCutOff) { // otherwise the attempt was canceled while connecting, which says nothing of the stage
 			s.gateway.markUnconnected(time.Now(), path.Hops[0].Address)
@@ -244,6 +264,7 @@
 		s.gateway.Fleet.MarkWrongLayers(now, address)
 	default:
 		s.gateway.markFull(now, address)
+		s.checkRejectingStage(path, address)
 	}
 	err := fmt.Errorf("%w: status %d at %s", errNotExecuted, response.StatusCode, address)
 	s.mu.Lock()
@@ -253,6 +274,18 @@
 	return err
 }
 
+// checkRejectingStage checks whether a later stage has ended for which the first one has rejected
+// the request: its rejection does not tell that from a full stage. Only the first of several
+// rejections is checked.
+func (s *stream) checkRejectingStage(path pipeline.Path, address deployment.Address) {
+	if address == path.Hops[0].Address {
+		return
+	}
+	if server, ok := s.gateway.Fleet.RejectedOnce(address); ok {
+		go s.gateway.ends.checkEnd(context.Background(), suspectedEnd{server: server})
+	}
+}
+
 // forwardErrorStatus forwards a backend server's response with a status other than 200,
 // unless the header of an earlier attempt was written before.
 func (s *stream) forwardErrorStatus(response *backend.Response) (streamOutcome, error) {
--- a/internal/gateway/successor.go
+++ b/internal/gateway/successor.go
@@ -152,10 +152,15 @@
 // release gives a reservation back that is not used.
 func (r *reservation) release(now time.Time) {
 	r.inFlight.Done(now, backend.Inconclusive)
-	if r.budget != nil {
-		r.budget.GiveBack()
-	}
+	r.giveBackRetry()
 	if r.connection != nil {
 		r.connection.Close()
 	}
 }
+
+// giveBackRetry gives the retry back that was taken for a reservation, if one was.
+func (r *reservation) giveBackRetry() {
+	if r.budget != nil {
+		r.budget.GiveBack()
+	}
+}
