Only the first four reachable instances of a zone renew their part in its lease

Change: the first four reachable ones, and whoever holds the lease or held it last, are candidates; a part of a zone that is cut off has its own.

--- a/internal/placementcontroller/controller.go
+++ b/internal/placementcontroller/controller.go
@@ -114,12 +114,14 @@
 	}
 }
 
-// maintain keeps this instance a candidate for the lease. While it has lost its links to the
-// backend servers it leaves the lease to the others.
+// maintain keeps this instance in the group for the lease if it is a candidate. While it has
+// lost its links to the backend servers it leaves the lease to the others.
 func (c *Controller) maintain(ctx context.Context) {
 	if !c.CutOff() {
 		c.withdrawn = false
-		c.join(ctx)
+		if c.isCandidate() {
+			c.join(ctx)
+		}
 		return
 	}
 	c.dropLease()
@@ -129,6 +131,14 @@
 	}
 }
 
+// isCandidate reports whether this instance takes part in the group for the lease.
+func (c *Controller) isCandidate() bool {
+	reachable := c.ReachableInstances()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.isCandidate(c.Settings.Instance, reachable)
+}
+
 // dropLease ends the orders of this instance.
 func (c *Controller) dropLease() {
 	c.mu.Lock()
--- a/internal/placementcontroller/lease.go
+++ b/internal/placementcontroller/lease.go
@@ -14,6 +14,9 @@
 	// storeLostTimeout is how long after the store's last response the lease may be
 	// adopted without it.
 	storeLostTimeout = 1500 * time.Millisecond
+	// maxCandidates bounds the instances of a zone that take part in the group for its lease.
+	// Each renews its membership every second, and the next one holds the lease after leaseTTL.
+	maxCandidates = 4
 )
 
 // lease is an instance's view of whether it holds the lease for placement orders. It may be
@@ -113,6 +116,18 @@
 	return !slices.Contains(reachable, l.known.holder)
 }
 
+// isCandidate reports whether an instance takes part in the group from which the store chooses the
+// holder: the first maxCandidates of the reachable instances, the smallest id first, do, and
+// whoever holds the lease or held it last as far as is known. Each part of a zone that is cut off
+// has candidates of its own.
+func (l *lease) isCandidate(self deployment.InstanceID, reachable []deployment.InstanceID) bool {
+	if !l.heldSince.IsZero() || l.known.holder == self {
+		return true
+	}
+	first := reachable[:min(len(reachable), maxCandidates)]
+	return len(first) == 0 || slices.Contains(first, self)
+}
+
 // next returns the step that is due now.
 func (l *lease) next(now time.Time) step {
 	switch {
--- a/internal/placementcontroller/lease_test.go
+++ b/internal/placementcontroller/lease_test.go
@@ -1,6 +1,7 @@
 package placementcontroller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,3 +108,27 @@
 		}
 	})
 }
+
+// TestCandidatesForTheLease guards against calls to the store that grow with the zone, and against
+// a zone, or the part of one that is cut off, without a candidate.
+func TestCandidatesForTheLease(t *testing.T) {
+	var zone []deployment.InstanceID
+	for i := range 40 {
+		zone = append(zone, deployment.InstanceID(fmt.Sprintf("entry-%02d", i)))
+	}
+	candidates := func(l lease, reachable []deployment.InstanceID) (count int) {
+		for _, id := range reachable {
+			if l.isCandidate(id, reachable) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, candidates(lease{}, zone), maxCandidates)
+	assert.Equal(t, candidates(lease{}, zone[30:]), maxCandidates, "cut off")
+	assert.Equal(t, candidates(lease{}, zone[:2]), 2)
+	assert.Assert(t, (&lease{}).isCandidate("entry-39", nil), "no peer is known")
+	holder := lease{known: knownHolder{holder: "entry-39", fencingToken: 7}}
+	assert.Assert(t, holder.isCandidate("entry-39", zone), "must learn that another one holds the lease")
+	assert.Assert(t, !holder.isCandidate("entry-38", zone))
+}
