The list of instances is read every 16 s unless a link shows that it is out of date

Change: 8 s after a read only if a linked instance was not named, or has restarted since (its relay key is another one then), else 16 s; entries are written every 20 s (maxEntryAge is 60 s).

--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -23,11 +23,15 @@
 var instancesTopic = platform.KeyedTopic("instances")
 
 const (
-	// registerInterval is the interval at which an instance writes its entry, and
-	// instanceListInterval the interval between reads of the topic. Between reads,
-	// peers learn of new instances from one another.
-	registerInterval     = 15 * time.Second
-	instanceListInterval = 8 * time.Second
+	// registerInterval is the interval at which an instance writes its entry. Two writes may
+	// fail before the entry reaches maxEntryAge.
+	registerInterval = 20 * time.Second
+	// instanceListInterval is the interval between reads of the topic while there are links to
+	// instances that the last read did not name, and maxInstanceListInterval that without.
+	// Peers learn of new instances from one another between reads; the keys with which they
+	// relay requests to them, and the number of instances, come from the topic.
+	instanceListInterval    = 8 * time.Second
+	maxInstanceListInterval = 16 * time.Second
 	// startupInterval replaces instanceListInterval during startupPhase, while the
 	// instances of a deployment start. It is also the retry delay of a registration.
 	startupInterval = time.Second
@@ -122,12 +126,20 @@
 // followInstances reads instancesTopic at intervals, until ctx ends.
 func (r *Router) followInstances(ctx context.Context) {
 	started := time.Now()
+	var known knownInstances
+	var readAt time.Time
 	for ctx.Err() == nil {
+		if now := time.Now(); now.Sub(readAt) < maxInstanceListInterval && known.cover(r.mesh.Connected()) {
+			sleep(ctx, instanceListInterval)
+			continue
+		}
 		batch, err := r.store.LatestByKey(ctx, instancesTopic)
 		now := time.Now()
 		if err == nil {
+			readAt = now
 			entries := r.decodeInstances(now, batch.Records)
 			list := instancesOf(entries)
+			known = newKnownInstances(list, r.mesh.Connected())
 			r.relayPeers.SetPeers(relayPeersOf(entries))
 			r.mesh.SetInstances(now, list)
 			r.fleet.SetInstanceCounts(1+len(list), 1+r.countInZone(list))
@@ -143,6 +155,35 @@
 	}
 }
 
+// knownInstances are the instances that the topic of instances named when it was last read, with
+// the incarnation of those that were linked then.
+type knownInstances map[instancelist.ID]peer.Incarnation
+
+func newKnownInstances(list []instancelist.Instance, linked []peer.Hello) knownInstances {
+	known := knownInstances{}
+	for _, instance := range list {
+		known[instance.ID] = peer.Incarnation{}
+	}
+	for _, hello := range linked {
+		if _, ok := known[hello.Instance]; ok {
+			known[hello.Instance] = hello.Incarnation
+		}
+	}
+	return known
+}
+
+// cover reports whether all linked instances are known, none of them as an earlier incarnation,
+// whose entry has another relay key.
+func (k knownInstances) cover(linked []peer.Hello) bool {
+	for _, hello := range linked {
+		incarnation, ok := k[hello.Instance]
+		if !ok || incarnation != (peer.Incarnation{}) && incarnation != hello.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
 // countInZone returns how many instances of a list are in this zone.
 func (r *Router) countInZone(list []instancelist.Instance) int {
 	count := 0
--- a/internal/router/peers_test.go
+++ b/internal/router/peers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -91,3 +92,15 @@
 		assert.Assert(t, strings.Contains(printed, "redacted"), printed)
 	}
 }
+
+// TestKnownInstancesCoverLinks guards against a relay key that stays that of an earlier process, and
+// against an instance that the others don't learn of, as the topic is read less often.
+func TestKnownInstancesCoverLinks(t *testing.T) {
+	first := peer.Hello{Instance: "a", Incarnation: uuid.New()}
+	unlisted := peer.Hello{Instance: "b", Incarnation: uuid.New()}
+	known := newKnownInstances([]instancelist.Instance{{ID: "a"}, {ID: "c"}}, []peer.Hello{first, unlisted})
+	assert.Assert(t, known.cover([]peer.Hello{first}))
+	assert.Assert(t, known.cover([]peer.Hello{{Instance: "c", Incarnation: uuid.New()}}), "listed, and linked since")
+	assert.Assert(t, !known.cover([]peer.Hello{first, unlisted}))
+	assert.Assert(t, !known.cover([]peer.Hello{{Instance: "a", Incarnation: uuid.New()}}), "restarted")
+}
