An instance without links to others asks the store less often

Change: without links a read of the configuration waits 1.6 s (a new version still ends it at once) and the list is read each second. Result: TestIsolatedConsumerWaitsLonger.

--- a/internal/router/consumer.go
+++ b/internal/router/consumer.go
@@ -40,6 +40,7 @@
 	// lastPush is when a peer last pushed what it had just read from the store.
 	lastPush   time.Time
 	readsOnce  bool // set by readOnce until the read is done
+	isolated   bool // there are no links to other instances
 	storeFails bool // the last call to the store failed
 	fetch      topiccache.Fetch
 	heardNext  platform.Offset // the newest offset that a peer has told
@@ -61,7 +62,7 @@
 	if !synced {
 		return c.readNewest(ctx)
 	}
-	batch, err := c.store.Read(ctx, c.topic, 0, from, c.wait)
+	batch, err := c.store.Read(ctx, c.topic, 0, from, c.readWait())
 	var status *platform.StatusError
 	if errors.As(err, &status) && status.Status == http.StatusGone || err == nil && batch.LogStart > from {
 		c.resync()
@@ -77,6 +78,23 @@
 	return nil
 }
 
+// setIsolated sets whether this instance has no links to others.
+func (c *consumer) setIsolated(isolated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isolated = isolated
+}
+
+// readWait returns how long a read waits for new records.
+func (c *consumer) readWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isolated && c.wait > 0 {
+		return isolatedWait
+	}
+	return c.wait
+}
+
 // readNewest reads the newest record of each key.
 func (c *consumer) readNewest(ctx context.Context) error {
 	batch, err := c.store.LatestByKey(ctx, c.topic)
--- a/internal/router/consumer_test.go
+++ b/internal/router/consumer_test.go
@@ -195,3 +195,16 @@
 		})
 	}
 }
+
+// TestIsolatedConsumerWaitsLonger guards against an instance without links that asks the store as
+// often as one that pushes to others, and against one with links that pushes too late for them.
+func TestIsolatedConsumerWaitsLonger(t *testing.T) {
+	c := &consumer{wait: configurationWait}
+	assert.Assert(t, c.readWait() < maxPushAge)
+	c.setIsolated(true)
+	assert.Equal(t, c.readWait(), isolatedWait)
+	c.setIsolated(false)
+	assert.Equal(t, c.readWait(), configurationWait)
+	list := &consumer{isolated: true}
+	assert.Equal(t, list.readWait(), time.Duration(0), "the list changes with each heartbeat")
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -17,10 +17,15 @@
 	// than the time within which the platform requires a new configuration to be active, so
 	// that an unresponsive connection is noticed in time.
 	configurationWait = 800 * time.Millisecond
+	// isolatedWait is how long a read waits on an instance without links to others, which no one
+	// pushes to and which pushes to no one. A new version still ends it at once.
+	isolatedWait = 1600 * time.Millisecond
 	// backendListInterval is the interval between reads of the backend list. It is well
 	// below the time within which the platform requires that a draining backend server gets
 	// no more new requests.
 	backendListInterval = 600 * time.Millisecond
+	// isolatedListInterval is the same on an instance without links to others.
+	isolatedListInterval = time.Second
 	// pushCheckInterval is the interval between checks whether a peer still reads the
 	// topic for this instance.
 	pushCheckInterval = 100 * time.Millisecond
@@ -116,8 +121,13 @@
 			sleep(ctx, pushCheckInterval)
 			continue
 		}
+		isolated := len(r.mesh.Connected()) == 0
+		c.setIsolated(isolated)
 		err := c.step(ctx)
 		delay := interval - time.Since(started)
+		if isolated && interval > 0 {
+			delay += isolatedListInterval - interval
+		}
 		switch {
 		case err != nil:
 			onFailure(time.Now())
