--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,8 +9,9 @@
 //	for _, rejection := range queue.Shed(now) { ... }
 //
 // The queue handles overload: more requests than the backend servers can serve, for
-// seconds at a time. A request that can still meet its target latency goes before one
-// that can't, since serving the late one first would make both late. A stream that has
+// seconds at a time. More urgent requests go first. Among equally urgent ones, a request that can
+// still meet its target latency goes before one that can't, since serving the late one first would
+// make both late. A stream that has
 // lost its path midway goes before all others, because its client already has a part
 // of the response, and one that may still go on after those that can't. A request that is predicted to wait beyond its deadline is rejected
 // early, unless it is a resumed stream or the admission rate is not known. The rejection
@@ -20,6 +21,8 @@
 import (
 	"sort"
 	"time"
+
+	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
 const (
@@ -44,7 +47,7 @@
 type Request struct {
 	Resumed       bool // its client has a part of the response
 	HasPath       bool // it still waits on an earlier path, which may go on
-	Priority      int  // 0 is the most urgent
+	Rank          routing.Rank
 	Arrived       time.Time
 	TargetLatency time.Duration // latency within which the response should begin
 	Deadline      time.Time     // when its client is assumed to give up
@@ -62,10 +65,10 @@
 		return a.Resumed
 	case a.HasPath != b.HasPath:
 		return b.HasPath
+	case a.Rank != b.Rank:
+		return a.Rank.Compare(b.Rank) < 0
 	case a.onTime(now) != b.onTime(now):
 		return a.onTime(now)
-	case a.Priority != b.Priority:
-		return a.Priority < b.Priority
 	}
 	return a.Arrived.Before(b.Arrived)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/internal/testarchive"
 )
 
@@ -136,10 +137,10 @@
 // target latency by priority, and late ones last.
 func TestOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
-	late := &Request{Arrived: now.Add(-2 * time.Second), TargetLatency: target, Priority: 1}
-	onTime := &Request{Arrived: now.Add(-50 * time.Millisecond), TargetLatency: target, Priority: 1}
-	urgent := &Request{Arrived: now.Add(-10 * time.Millisecond), TargetLatency: target, Priority: 0}
-	resumed := &Request{Resumed: true, Arrived: now.Add(-5 * time.Second), TargetLatency: target, Priority: 2}
+	late := &Request{Arrived: now.Add(-2 * time.Second), TargetLatency: target, Rank: routing.Rank{Priority: 1}}
+	onTime := &Request{Arrived: now.Add(-50 * time.Millisecond), TargetLatency: target, Rank: routing.Rank{Priority: 1}}
+	urgent := &Request{Arrived: now.Add(-10 * time.Millisecond), TargetLatency: target, Rank: routing.Rank{Priority: 0}}
+	resumed := &Request{Resumed: true, Arrived: now.Add(-5 * time.Second), TargetLatency: target, Rank: routing.Rank{Priority: 2}}
 	var queue Queue
 	for _, r := range []*Request{late, onTime, urgent, resumed} {
 		queue.Push(now, r)
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -61,7 +61,7 @@
 	}
 	if c.decision.Route != nil {
 		fields = append(fields, zap.String("route", string(c.decision.Route.Name)), zap.String("team", string(c.decision.Team)),
-			zap.Int("priority", c.decision.Priority))
+			zap.Int("priority", c.decision.Rank.Priority), zap.Int("route-priority", c.decision.Rank.Route))
 	}
 	if c.size.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt-tokens", c.size.PromptTokens), zap.Int("max-output-tokens", c.size.MaxOutputTokens))
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -74,7 +74,7 @@
 func (g *Gateway) relayedCall(now time.Time, request *relay.Request, service *deployment.Service) *call {
 	c := &call{
 		id: request.ID, started: now, deadline: now.Add(request.Remaining), service: service, version: request.Version,
-		decision: routing.Decision{Route: request.Route.Configured(), Team: request.Team, Priority: request.Priority},
+		decision: routing.Decision{Route: request.Route.Configured(), Team: request.Team, Rank: request.Rank},
 		request: backend.Request{
 			Method: request.Method, URI: request.URI, Host: request.Host, ID: request.ID, Header: request.Header, Body: request.Body,
 		},
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -217,7 +217,7 @@
 	route.MaxAttempts = max(1, route.MaxAttempts-offer.unnamed)
 	return relay.Request{
 		From: g.Settings.Instance, ID: c.id, Remaining: c.remaining(now), Version: c.version, Service: c.service.Name,
-		Route: route, Priority: c.decision.Priority, Team: c.decision.Team, Repeat: offer.repeat,
+		Route: route, Rank: c.decision.Rank, Team: c.decision.Team, Repeat: offer.repeat,
 		Ran: offer.ran, Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Header: header, Body: c.request.Body,
 	}
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
 // Bounds on the fields of a request.
@@ -101,7 +102,7 @@
 	wire := &wireRequest{
 		From: string(request.From), ID: cbor.ByteString(request.ID), Remaining: int64(request.Remaining),
 		Version: int64(request.Version), Service: string(request.Service), Route: routeToWire(request.Route),
-		Priority: request.Priority, Team: string(request.Team), Repeat: request.Repeat, Unpaid: request.Unpaid, Method: request.Method,
+		Priority: request.Rank.Priority, RoutePriority: &request.Rank.Route, Team: string(request.Team), Repeat: request.Repeat, Unpaid: request.Unpaid, Method: request.Method,
 		URI: cbor.ByteString(request.URI), Host: cbor.ByteString(request.Host),
 		Header: headerToWire(request.Header), Body: request.Body,
 	}
@@ -123,7 +124,7 @@
 	request := Request{
 		From: deployment.InstanceID(wire.From), ID: string(wire.ID), Remaining: time.Duration(wire.Remaining),
 		Version: deployment.Version(wire.Version), Service: deployment.ServiceName(wire.Service), Route: route,
-		Priority: wire.Priority, Team: deployment.Team(wire.Team), Repeat: wire.Repeat, Unpaid: wire.Unpaid, Method: wire.Method,
+		Rank: rankFromWire(wire), Team: deployment.Team(wire.Team), Repeat: wire.Repeat, Unpaid: wire.Unpaid, Method: wire.Method,
 		URI: string(wire.URI), Host: string(wire.Host), Header: header, Body: wire.Body,
 	}
 	for _, id := range wire.Ran {
@@ -132,6 +133,15 @@
 	return request, nil
 }
 
+// rankFromWire takes the priority of the route for that of the request where the sender has told
+// only one.
+func rankFromWire(wire *wireRequest) routing.Rank {
+	if wire.RoutePriority == nil {
+		return routing.Rank{Priority: wire.Priority, Route: wire.Priority}
+	}
+	return routing.Rank{Priority: wire.Priority, Route: *wire.RoutePriority}
+}
+
 func routeToWire(route Route) wireRoute {
 	return wireRoute{
 		Name: string(route.Name), Kind: route.Kind.String(), Timeout: int64(route.Timeout),
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -15,13 +15,14 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/prove"
+	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
 func sampleRequest() Request {
 	return Request{
 		From: "front-1", ID: "id-1", Remaining: 3 * time.Second, Version: 7, Service: "model",
-		Route:    Route{Name: "chat", Kind: deployment.Streaming, MaxAttempts: 2, Resumable: true, TargetLatency: time.Second},
-		Priority: 3, Team: "team-1", Repeat: true, Unpaid: true, Ran: []deployment.BackendID{"s-1", "s,2"},
+		Route: Route{Name: "chat", Kind: deployment.Streaming, MaxAttempts: 2, Resumable: true, TargetLatency: time.Second},
+		Rank:  routing.Rank{Priority: 3, Route: 1}, Team: "team-1", Repeat: true, Unpaid: true, Ran: []deployment.BackendID{"s-1", "s,2"},
 		Method: http.MethodPost, URI: "/v1/a?b=c", Host: "example", Header: http.Header{"X-A": {"1", "\xff"}}, Body: []byte("body\x00"),
 	}
 }
@@ -54,7 +55,7 @@
 			Timeout: duration(t, "timeout", 0), TargetLatency: duration(t, "latency", 0), TargetEventGap: duration(t, "gap", 0),
 			MaxAttempts: rapid.IntRange(0, 9).Draw(t, "attempts"), Resumable: rapid.Bool().Draw(t, "resumable"),
 		},
-		Priority: rapid.Int().Draw(t, "priority"), Team: deployment.Team(rapid.SampledFrom([]string{"", "team"}).Draw(t, "team")),
+		Rank: routing.Rank{Priority: rapid.Int().Draw(t, "priority"), Route: rapid.Int().Draw(t, "route-priority")}, Team: deployment.Team(rapid.SampledFrom([]string{"", "team"}).Draw(t, "team")),
 		Repeat: rapid.Bool().Draw(t, "repeat"), Unpaid: rapid.Bool().Draw(t, "unpaid"), Method: rapid.SampledFrom([]string{"GET", "POST", "HEAD", "PURGE"}).Draw(t, "method"),
 		URI: "/" + rapid.StringMatching(`[!-~]{0,40}`).Draw(t, "uri"), Host: rapid.StringMatching(`[a-z.:0-9]{0,20}`).Draw(t, "host"),
 		Header: drawHeader(t),
@@ -242,3 +243,16 @@
 		assert.DeepEqual(t, again.Header, request.Header)
 	})
 }
+
+// TestRequestOfEarlierBuildKeepsItsPriority guards against a request that is taken for the most
+// urgent of its team, because the peer's build does not tell the priority of the route.
+func TestRequestOfEarlierBuildKeepsItsPriority(t *testing.T) {
+	request := sampleRequest()
+	wire := requestToWire(&request)
+	wire.RoutePriority = nil
+	data, err := cbor.Marshal(wire)
+	assert.NilError(t, err)
+	got, err := Decode(data, MaxBodyBytes)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Rank, routing.Rank{Priority: 3, Route: 3})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,7 +17,7 @@
 //
 //	mux.Handle(relay.Path, relay.NewHandler(relay.HandlerConfig{...}))
 //
-// The first instance alone decides the route, the team and the priority, and takes retries
+// The first instance alone decides the route, the team and the rank, and takes retries
 // from the budget. The peer chooses the backend servers. Its Server gets the decoded request
 // and writes the response: after SetAnswered that of a backend server, else by WriteNotRun
 // or WriteUnknown. A response without one of these outcomes counts as unknown.
@@ -31,6 +31,7 @@
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
 // Path is the path of a Handler on the address for peers.
@@ -45,7 +46,7 @@
 	Version   deployment.Version // of the configuration by which the request was routed
 	Service   deployment.ServiceName
 	Route     Route
-	Priority  int
+	Rank      routing.Rank
 	Team      deployment.Team // may be empty
 	// Repeat is set if an earlier attempt may have reached a backend server. The sender has
 	// taken this retry from its part of the budget unless Unpaid is set: then the receiver takes
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -12,15 +12,17 @@
 	Service   string          `cbor:"5,keyasint"`
 	Route     wireRoute       `cbor:"6,keyasint"`
 	Priority  int             `cbor:"7,keyasint,omitempty"`
-	Team      string          `cbor:"8,keyasint,omitempty"`
-	Repeat    bool            `cbor:"9,keyasint,omitempty"`
-	Unpaid    bool            `cbor:"16,keyasint,omitempty"`
-	Ran       []string        `cbor:"10,keyasint,omitempty"`
-	Method    string          `cbor:"11,keyasint"`
-	URI       cbor.ByteString `cbor:"12,keyasint"`
-	Host      cbor.ByteString `cbor:"13,keyasint"`
-	Header    []wireField     `cbor:"14,keyasint,omitempty"`
-	Body      []byte          `cbor:"15,keyasint,omitempty"`
+	// RoutePriority is nil in requests of builds that knew only one priority.
+	RoutePriority *int            `cbor:"17,keyasint,omitempty"`
+	Team          string          `cbor:"8,keyasint,omitempty"`
+	Repeat        bool            `cbor:"9,keyasint,omitempty"`
+	Unpaid        bool            `cbor:"16,keyasint,omitempty"`
+	Ran           []string        `cbor:"10,keyasint,omitempty"`
+	Method        string          `cbor:"11,keyasint"`
+	URI           cbor.ByteString `cbor:"12,keyasint"`
+	Host          cbor.ByteString `cbor:"13,keyasint"`
+	Header        []wireField     `cbor:"14,keyasint,omitempty"`
+	Body          []byte          `cbor:"15,keyasint,omitempty"`
 }
 
 type wireRoute struct {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,5 +1,5 @@
 // Package routing determines from one version of the configuration which route a
-// request takes, which team sent it, and with which priority. It keeps the newest
+// request takes, which team sent it, and how urgent it is. It keeps the newest
 // version that this process has received; an older version never replaces it.
 //
 // Usage: keep one ActiveTable in each process. A request loads the table once and uses
@@ -72,11 +72,11 @@
 // Services returns all services.
 func (t *Table) Services() []deployment.Service { return t.configuration.Services }
 
-// Decision is the route, team and priority of a request.
+// Decision is the route, team and rank of a request.
 type Decision struct {
 	Route     *deployment.Route
 	Team      deployment.Team // empty if no team's key was given or the configuration has no teams
-	Priority  int
+	Rank      Rank
 	TeamCount int // number of teams in the configuration
 }
 
@@ -100,14 +100,13 @@
 	return fmt.Sprintf("route %s requires the API key of a team", e.Route)
 }
 
-// Decide finds the route and the team of a request. The priority is that of the team if
-// it has one, else that of the route. Errors are a *NoRouteError or an *UnknownKeyError.
+// Decide finds the route, the team and the rank of a request. Errors are a *NoRouteError or an *UnknownKeyError.
 func (t *Table) Decide(host, path string, key deployment.APIKey) (Decision, error) {
 	route := t.match(host, path)
 	if route == nil {
 		return Decision{}, &NoRouteError{Host: host, Path: path}
 	}
-	decision := Decision{Route: route, Priority: route.Priority, TeamCount: len(t.configuration.Teams)}
+	decision := Decision{Route: route, Rank: Rank{Priority: route.Priority, Route: route.Priority}, TeamCount: len(t.configuration.Teams)}
 	if len(t.configuration.Teams) == 0 {
 		return decision, nil
 	}
@@ -115,7 +114,7 @@
 	if ok {
 		decision.Team = team.Team
 		if team.HasPriority {
-			decision.Priority = team.Priority
+			decision.Rank.Priority = team.Priority
 		}
 		return decision, nil
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"errors"
 	"testing"
 
@@ -33,19 +34,19 @@
 		key        deployment.APIKey
 		route      deployment.RouteName
 		team       deployment.Team
-		priority   int
+		rank       Rank
 	}{
-		{"a.example", "/x/", "k1", "all", "one", 3},
-		{"a.example", "/x/y/z", "k2", "deep", "one", 2},
-		{"a.example", "/x/y", "k3", "all", "two", 0},
-		{"b.example", "/", "", "open", "", 0},
-		{"b.example", "/", "gone", "open", "", 0},
+		{"a.example", "/x/", "k1", "all", "one", Rank{Priority: 3, Route: 3}},
+		{"a.example", "/x/y/z", "k2", "deep", "one", Rank{Priority: 2, Route: 2}},
+		{"a.example", "/x/y", "k3", "all", "two", Rank{Priority: 0, Route: 3}},
+		{"b.example", "/", "", "open", "", Rank{}},
+		{"b.example", "/", "gone", "open", "", Rank{}},
 	} {
 		got, err := table.Decide(c.host, c.path, c.key)
 		assert.NilError(t, err)
 		assert.Equal(t, got.Route.Name, c.route)
 		assert.Equal(t, got.Team, c.team)
-		assert.Equal(t, got.Priority, c.priority)
+		assert.Equal(t, got.Rank, c.rank)
 	}
 	var unknown *UnknownKeyError
 	_, err := table.Decide("a.example", "/", "gone")
@@ -85,3 +86,14 @@
 	_, ok := PickService(&deployment.Route{}, 0.5)
 	assert.Assert(t, !ok)
 }
+
+// TestRankOrder guards against routes that are equally urgent for all requests whose teams have
+// the same priority.
+func TestRankOrder(t *testing.T) {
+	ordered := []Rank{{Priority: 0, Route: 9}, {Priority: 1, Route: 0}, {Priority: 1, Route: 2}, {Priority: 2, Route: -1}}
+	for i, a := range ordered {
+		for j, b := range ordered {
+			assert.Equal(t, a.Compare(b), cmp.Compare(i, j), "%s, %s", a, b)
+		}
+	}
+}
