--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,8 +4,11 @@
 // Usage: keep the waiting requests in a Queue, and dispatch them while there is
 // capacity:
 //
+//	queue.RecordArrival(now, request)
 //	queue.Push(now, request)
-//	for _, request := range queue.Ordered(now) { ... queue.Admit(now, request) }
+//	for _, request := range queue.Ordered(now) {
+//		if queue.Decide(now, request, capacity).Admitted { ... queue.Admit(now, request) }
+//	}
 //	for _, rejection := range queue.Shed(now) { ... }
 //
 // The queue handles overload: more requests than the backend servers can serve, for
@@ -22,6 +25,7 @@
 	"sort"
 	"time"
 
+	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
@@ -51,6 +55,13 @@
 	Arrived       time.Time
 	TargetLatency time.Duration // latency within which the response should begin
 	Deadline      time.Time     // when its client is assumed to give up
+	// Work is the time that a server needs for the request, in milliseconds. Other values than
+	// positive, finite ones count as unknown, and the request as a typical one.
+	Work float64
+	// Blocked is set while the request could not use capacity that becomes free.
+	Blocked bool
+
+	state *rankState // nil until it waits
 }
 
 // onTime reports whether a request can still meet its target latency.
@@ -82,8 +93,14 @@
 // Queue holds the waiting requests. It is not safe for concurrent use.
 type Queue struct {
 	waiting      []*Request
-	admitted     []time.Time // within rateWindow
-	waitingSince time.Time   // when a request was last added to the empty queue
+	admitted     []time.Time  // within rateWindow
+	waitingSince time.Time    // when a request was last added to the empty queue
+	ranks        []*rankState // from the most urgent
+	reports      map[deployment.InstanceID]*report
+	// contendedUntil is until when more urgent requests may have to be considered.
+	contendedUntil time.Time
+	answerTime     time.Duration // mean, 0 if unknown
+	typicalWork    float64       // mean of the known ones, in milliseconds, 0 if none was known
 }
 
 // Len returns the number of waiting requests.
@@ -94,14 +111,33 @@
 	if len(q.waiting) == 0 {
 		q.waitingSince = now
 	}
+	r.state = q.stateOf(now, r.Rank)
+	r.state.waiting++
+	r.state.queuedAt = now
+	q.extendContention(now.Add(shortageAge))
 	q.waiting = append(q.waiting, r)
 }
 
+// Preceded reports whether a waiting request goes before a new one, which then may not take
+// capacity at once.
+func (q *Queue) Preceded(_ time.Time, r *Request) bool {
+	if r.Resumed {
+		return false
+	}
+	for _, waiting := range q.waiting {
+		if waiting.Resumed || r.HasPath || waiting.Rank.Compare(r.Rank) <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove removes a request. It does nothing if the request is not waiting.
 func (q *Queue) Remove(r *Request) {
 	for i, waiting := range q.waiting {
 		if waiting == r {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+			r.state.waiting--
 			return
 		}
 	}
@@ -111,6 +147,8 @@
 // must also be called for a request that got capacity without waiting.
 func (q *Queue) Admit(now time.Time, r *Request) {
 	q.Remove(r)
+	q.stateOf(now, r.Rank).heldSince = time.Time{}
+	q.recordWork(r)
 	q.admitted = append(q.admitted, now)
 	q.expireAdmitted(now)
 }
@@ -125,6 +163,12 @@
 
 // Ordered returns the waiting requests in the order in which they should be admitted.
 func (q *Queue) Ordered(now time.Time) []*Request {
+	for _, state := range q.ranks {
+		if state.waiting > 0 {
+			state.queuedAt = now
+			q.extendContention(now.Add(shortageAge))
+		}
+	}
 	sort.SliceStable(q.waiting, func(i, j int) bool { return before(now, q.waiting[i], q.waiting[j]) })
 	return append([]*Request(nil), q.waiting...)
 }
@@ -160,6 +204,7 @@
 			kept = append(kept, r)
 			continue
 		}
+		r.state.waiting--
 		rejections = append(rejections, Rejection{Request: r})
 	}
 	q.waiting = kept
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -145,7 +146,7 @@
 	for _, r := range []*Request{late, onTime, urgent, resumed} {
 		queue.Push(now, r)
 	}
-	assert.DeepEqual(t, queue.Ordered(now), []*Request{resumed, urgent, onTime, late})
+	assert.Assert(t, slices.Equal(queue.Ordered(now), []*Request{resumed, urgent, onTime, late}))
 }
 
 // TestRetryAfterIsStaggered checks that the Retry-After times of requests rejected together
--- /dev/null
+++ b/internal/admission/decision.go
@@ -0,0 +1,112 @@
+package admission
+
+import (
+	"time"
+
+	"mulberryhead.org/mulberryhead/internal/routing"
+)
+
+const (
+	// maxHoldBack bounds how long the requests of a rank are held back while capacity is free, also
+	// where the rate of admissions is not known.
+	maxHoldBack = time.Second
+	// guaranteedShare is the number of admissions of a service of which each rank that has
+	// requests gets at least one.
+	guaranteedShare = 20
+)
+
+// Capacity is the capacity of a service as an instance sees it.
+type Capacity struct {
+	Free     int // more requests that can begin
+	InFlight int // requests of all instances
+}
+
+// Decision is whether a request may take capacity that is free, and why.
+type Decision struct {
+	Admitted bool
+	// Capacity is set if it was needed for the decision.
+	Capacity Capacity
+	// Elsewhere is how many more urgent requests wait at other instances of the zone, weighted by
+	// the age of their reports.
+	Elsewhere float64
+	OldestAge time.Duration // of the reports that were used
+}
+
+// Decide decides whether a request may take free capacity now, or leaves it to more urgent
+// requests of the zone. capacity is called only if there are such. The caller must have made sure
+// that the request is not preceded by one in this queue.
+func (q *Queue) Decide(now time.Time, r *Request, capacity func() Capacity) Decision {
+	if r.Resumed || !now.Before(q.contendedUntil) {
+		return Decision{Admitted: true}
+	}
+	var d Decision
+	d.Elsewhere, d.OldestAge = q.waitingElsewhere(now, r.Rank)
+	if d.Elsewhere == 0 {
+		return Decision{Admitted: true}
+	}
+	d.Capacity = capacity()
+	left := float64(d.Capacity.Free) - d.Elsewhere
+	// Without free capacity the search for a path fails, and nothing is held back.
+	if left >= 1 || d.Capacity.Free < 1 {
+		d.Admitted = true
+		return d
+	}
+	state := q.stateOf(now, r.Rank)
+	if state.heldSince.IsZero() {
+		state.heldSince = now
+	}
+	d.Admitted = now.Sub(state.heldSince) >= q.longestHoldBack(now, state, d.Capacity)
+	return d
+}
+
+// waitingElsewhere returns how many requests that are more urgent than a rank wait at other
+// instances, weighted by the age of the reports, and the age of the oldest of these.
+func (q *Queue) waitingElsewhere(now time.Time, rank routing.Rank) (requests float64, oldest time.Duration) {
+	for _, report := range q.reports {
+		weight := report.weight(now)
+		for i := range report.demand {
+			d := &report.demand[i]
+			if weight == 0 || d.Waiting == 0 || d.Rank.Compare(rank) >= 0 {
+				continue
+			}
+			requests += weight * float64(d.Waiting)
+			oldest = max(oldest, now.Sub(report.at))
+		}
+	}
+	return requests, oldest
+}
+
+// longestHoldBack returns how long the requests of a rank may be held back so that the rank gets
+// one in guaranteedShare of the admissions of the service, of which this instance has the part
+// that it has of the waiting requests of the rank.
+func (q *Queue) longestHoldBack(now time.Time, state *rankState, capacity Capacity) time.Duration {
+	if q.answerTime == 0 || capacity.InFlight == 0 {
+		return maxHoldBack
+	}
+	interval := guaranteedShare * q.answerTime.Seconds() / float64(capacity.InFlight)
+	own := float64(max(1, state.waiting))
+	all := own
+	for _, report := range q.reports {
+		for i := range report.demand {
+			if report.demand[i].Rank == state.rank {
+				all += report.weight(now) * float64(report.demand[i].Waiting)
+			}
+		}
+	}
+	return min(maxHoldBack, time.Duration(interval*all/own*float64(time.Second)))
+}
+
+// answerTimeWeight is the weight of one answer in the mean time of an answer.
+const answerTimeWeight = 0.05
+
+// RecordAnswer records how long an answer took from its admission to its end.
+func (q *Queue) RecordAnswer(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if q.answerTime == 0 {
+		q.answerTime = took
+		return
+	}
+	q.answerTime += time.Duration(answerTimeWeight * float64(took-q.answerTime))
+}
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 	for _, r := range []*Request{lessUrgentTeam, lessUrgent, late, onTime} {
 		queue.Push(now, r)
 	}
-	assert.DeepEqual(t, queue.Ordered(now), []*Request{onTime, late, lessUrgent, lessUrgentTeam})
+	assert.Assert(t, slices.Equal(queue.Ordered(now), []*Request{onTime, late, lessUrgent, lessUrgentTeam}))
 }
 
 // TestEqualRanksKeepTheirOrder guards against a change of the order where all ranks are equal and
--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -108,8 +108,13 @@
 	if s.fullAt.IsZero() {
 		return true
 	}
-	growth := limitGrowthPerSecond * float64(f.load.instancesInZone) * now.Sub(s.fullAt).Seconds()
-	return float64(requests) < s.limit+growth
+	return float64(requests) < f.requestLimit(now, s)
+}
+
+// requestLimit returns the limit on the requests of all instances at a stage that has rejected
+// one. It grows from the time of the rejection on.
+func (f *Fleet) requestLimit(now time.Time, s *server) float64 {
+	return s.limit + limitGrowthPerSecond*float64(f.load.instancesInZone)*now.Sub(s.fullAt).Seconds()
 }
 
 // requestsOn estimates the requests of all instances on a stage.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	instances   int
 	peerRetries map[deployment.InstanceID]peerRetries
 	started     time.Time
+	// invalidDemandLoggedAt bounds the log lines on invalid reports.
+	invalidDemandLoggedAt time.Time
 }
 
 // serviceState is the state shared by all requests for a service.
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -118,6 +118,12 @@
 	return path, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
 }
 
+// capacity implements reserver.
+func (p *pathRequest) capacity(now time.Time) admission.Capacity {
+	free, inFlight := p.gateway.Fleet.FreeCapacity(now, p.call.service)
+	return admission.Capacity{Free: free, InFlight: inFlight}
+}
+
 // restricted implements reserver: it reports whether the stream must begin at a first stage
 // that may have run it.
 func (p *pathRequest) restricted() bool {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -48,6 +48,8 @@
 	ready(now time.Time) error
 	// reserve finds a path and counts the request on it.
 	reserve(now time.Time) (reservation, error)
+	// capacity returns the capacity of the service.
+	capacity(now time.Time) admission.Capacity
 	// restricted reports whether other requests may find a path where this one finds none.
 	restricted() bool
 }
@@ -109,15 +111,16 @@
 	}
 }
 
-// reserveOrEnqueue reserves capacity at once if no request waits or the request is
-// resumed. Otherwise, or without capacity, it adds the request to the queue.
+// reserveOrEnqueue reserves capacity at once if no waiting request goes before the new one.
+// Otherwise, or without capacity, it adds the request to the queue.
 func (q *queue) reserveOrEnqueue(now time.Time, request *admission.Request, reserver reserver) (*waiter, reservation, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	lastErr := reserver.ready(now)
-	if (q.admission.Len() == 0 || request.Resumed) && lastErr == nil {
+	q.admission.RecordArrival(now, request)
+	if lastErr == nil && !q.admission.Preceded(now, request) {
 		var result reservation
-		if result, lastErr = reserver.reserve(now); lastErr == nil {
+		if result, lastErr = q.reserve(now, request, reserver); lastErr == nil {
 			q.admission.Admit(now, request)
 			return nil, result, true
 		}
@@ -132,6 +135,29 @@
 	return w, reservation{}, false
 }
 
+// reserve reserves capacity. The error is a *leftToOthersError if the request must leave what is
+// free to more urgent ones.
+func (q *queue) reserve(now time.Time, request *admission.Request, reserver reserver) (reservation, error) {
+	decision := q.admission.Decide(now, request, func() admission.Capacity { return reserver.capacity(now) })
+	if !decision.Admitted {
+		return reservation{}, &leftToOthersError{Decision: decision}
+	}
+	return reserver.reserve(now)
+}
+
+// leftToOthersError reports that a request was held back for more urgent ones of the zone.
+type leftToOthersError struct{ admission.Decision }
+
+func isLeftToOthers(err error) bool {
+	var left *leftToOthersError
+	return errors.As(err, &left)
+}
+
+func (e *leftToOthersError) Error() string {
+	return fmt.Sprintf("%d free slots are left to more urgent requests: %.1f wait at other instances, as reported up to %s ago",
+		e.Capacity.Free, e.Elsewhere, e.OldestAge.Round(time.Millisecond))
+}
+
 // abandon removes a waiter whose context has ended and releases a reservation that was
 // made in the meantime.
 func (q *queue) abandon(w *waiter) {
@@ -166,11 +192,12 @@
 				delete(q.waiters, request)
 				close(w.rejected)
 			}
+			request.Blocked = true
 			continue
 		}
 		var result reservation
-		if result, w.lastErr = w.reserver.reserve(now); w.lastErr != nil {
-			if w.reserver.restricted() {
+		if result, w.lastErr = q.reserve(now, request, w.reserver); w.lastErr != nil {
+			if request.Blocked = w.reserver.restricted(); request.Blocked || isLeftToOthers(w.lastErr) {
 				continue
 			}
 			break // the requests behind it would find no path either
--- /dev/null
+++ b/internal/gateway/queue_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/admission"
+	"mulberryhead.org/mulberryhead/internal/routing"
+)
+
+// slots is a service with some free slots, which all its reservers share.
+type slots struct{ free int }
+
+func (s *slots) ready(time.Time) error { return nil }
+
+func (s *slots) reserve(time.Time) (reservation, error) {
+	if s.free == 0 {
+		return reservation{}, errNoPath
+	}
+	s.free--
+	return reservation{}, nil
+}
+
+func (s *slots) capacity(time.Time) admission.Capacity {
+	return admission.Capacity{Free: s.free, InFlight: 10}
+}
+
+func (s *slots) restricted() bool { return false }
+
+func queuedRequest(now time.Time, rank routing.Rank) *admission.Request {
+	return &admission.Request{Rank: rank, Arrived: now, TargetLatency: time.Second, Deadline: now.Add(time.Minute)}
+}
+
+// TestQueueLeavesCapacityToMoreUrgentPeers guards against a queue that gives a less urgent request
+// the slot for which more urgent ones wait at another instance, and against one that holds it back
+// when these no longer wait.
+func TestQueueLeavesCapacityToMoreUrgentPeers(t *testing.T) {
+	q, service := newQueue(), &slots{free: 1}
+	now := time.Now()
+	q.setPeerDemand(now, "peer", []admission.PriorityDemand{{Rank: routing.Rank{}, Waiting: 2}})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := q.acquire(ctx, queuedRequest(now, routing.Rank{Priority: 1}), service)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	q.setPeerDemand(time.Now(), "peer", nil)
+	_, err = q.acquire(context.Background(), queuedRequest(now, routing.Rank{Priority: 1}), service)
+	assert.NilError(t, err)
+}
+
+// TestUrgentRequestPassesWaitingOnes guards against an urgent request that waits for the next
+// dispatch, because less urgent ones wait for capacity that is left to other instances.
+func TestUrgentRequestPassesWaitingOnes(t *testing.T) {
+	q, service := newQueue(), &slots{free: 1}
+	now := time.Now()
+	q.running = true // no dispatch during the test
+	q.admission.Push(now, queuedRequest(now, routing.Rank{Priority: 1}))
+	_, _, ok := q.reserveOrEnqueue(now, queuedRequest(now, routing.Rank{Priority: 0}), service)
+	assert.Assert(t, ok)
+	service.free = 1
+	_, _, ok = q.reserveOrEnqueue(now, queuedRequest(now, routing.Rank{Priority: 1}), service)
+	assert.Assert(t, !ok, "an equally urgent one must wait its turn")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,6 +61,7 @@
 	// perhaps not flushed yet. From then on no error response is possible.
 	headerWritten    bool
 	lastEventAt      time.Time
+	admittedAt       time.Time     // when it first got a path, zero before
 	timeToFirstEvent time.Duration // 0 before the first event
 	longestPause     time.Duration // between two events
 	notRunCause      error         // why no attempt has run, nil once one may have
@@ -108,6 +109,9 @@
 	case streamComplete, streamErrorStatus:
 		g.logEnd(c, http.StatusOK, "answered", s.timingFields()...)
 		g.Metrics.observeResponse(c, time.Now())
+		if outcome == streamComplete && !s.admittedAt.IsZero() {
+			g.queue(c.service.Name).recordAnswer(time.Since(s.admittedAt))
+		}
 	case streamTruncated:
 		g.logEnd(c, http.StatusOK, "stream-cut", append(s.timingFields(), zap.NamedError("cause", cause))...)
 		g.Metrics.countFailure("stream-cut")
@@ -191,6 +195,9 @@
 	if err != nil {
 		return 0, &unreservedError{cause: err}
 	}
+	if s.admittedAt.IsZero() {
+		s.admittedAt = time.Now()
+	}
 	return s.attempt(ctx, reserved)
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -83,7 +83,7 @@
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
 	case StageLoads:
-		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits), CutOff: m.CutOff}
+		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits), CutOff: m.CutOff, Demand: priorityDemandToWire(m.Demand)}
 	case LinksState:
 		wire.LinksCutOff = &m.CutOff
 	case ZoneLoads:
@@ -157,7 +157,7 @@
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
 	case wire.StageLoads != nil:
 		loads := wire.StageLoads
-		return StageLoads{Loads: loadsFromWire(loads.Loads), Retries: retriesFromWire(loads.Retries), Limits: limitsFromWire(loads.Limits), CutOff: loads.CutOff}, nil
+		return StageLoads{Loads: loadsFromWire(loads.Loads), Retries: retriesFromWire(loads.Retries), Limits: limitsFromWire(loads.Limits), CutOff: loads.CutOff, Demand: priorityDemandFromWire(loads.Demand)}, nil
 	case wire.LinksCutOff != nil:
 		return LinksState{CutOff: *wire.LinksCutOff}, nil
 	case wire.StageObserved != nil:
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -7,11 +7,13 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
 	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
+	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/internal/serverlimit"
 )
 
@@ -34,6 +36,7 @@
 		StageLoads{Loads: map[deployment.BackendID]int{"b": 3}}, ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{"b": 3}},
 		StageObserved{Backend: "b", What: backend.StageSuspected},
 		LinksState{CutOff: true}, LinksState{}, StageLoads{CutOff: true},
+		StageLoads{Demand: map[deployment.ServiceName][]admission.PriorityDemand{"s": {{Rank: routing.Rank{Priority: 1, Route: 2}, Waiting: 3, Work: 4, ArrivalsPerSecond: 5}}}},
 	} {
 		data, err := Encode(m)
 		assert.NilError(f, err)
@@ -56,6 +59,9 @@
 func TestLoadsOfNoRequestArrive(t *testing.T) {
 	for _, m := range []Message{
 		StageLoads{Loads: map[deployment.BackendID]int{}, Retries: map[deployment.ServiceName]retrybudget.Spending{"s": {Allowed: 4.5, Spent: 1}}, Limits: backend.LimitReports{}},
+		StageLoads{Loads: map[deployment.BackendID]int{}, Retries: map[deployment.ServiceName]retrybudget.Spending{}, Limits: backend.LimitReports{}, Demand: map[deployment.ServiceName][]admission.PriorityDemand{
+			"s": {{Rank: routing.Rank{Priority: 1, Route: 2}, Waiting: 3, Work: 4.5, ArrivalsPerSecond: 5.5}, {Rank: routing.Rank{Priority: -1}}},
+		}},
 		ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{}},
 		ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{"b": {
 			Sent: 4, Statement: serverlimit.Statement{PerSecond: 2.5, NamedAge: time.Second, Answered: true, LiftedAge: time.Minute},
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -19,6 +19,7 @@
 import (
 	"github.com/google/uuid"
 
+	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/engine"
@@ -181,13 +182,14 @@
 }
 
 // StageLoads reports how many requests of the sender are in flight on each backend server
-// of a model, what it has spent of the retries to each service, and what it knows of backend
-// servers with a limit and has sent to them.
+// of a model, what it has spent of the retries to each service, what it knows of backend
+// servers with a limit and has sent to them, and the demand for services for which requests wait.
 type StageLoads struct {
 	Loads   map[deployment.BackendID]int
 	Retries map[deployment.ServiceName]retrybudget.Spending
 	Limits  backend.LimitReports
 	CutOff  bool // the sender has lost its links to the backend servers
+	Demand  map[deployment.ServiceName][]admission.PriorityDemand
 }
 
 // LinksState reports whether the sender has lost its links to the backend servers. It is sent
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -94,6 +94,17 @@
 	Retries map[string]wireSpending `cbor:"2,keyasint,omitempty"`
 	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
 	CutOff  bool                    `cbor:"4,keyasint,omitempty"`
+	Demand  map[string][]wireDemand `cbor:"5,keyasint,omitempty"`
+}
+
+// wireDemand is the demand in requests of one rank.
+type wireDemand struct {
+	_                 struct{} `cbor:",toarray"`
+	Priority          int
+	Route             int
+	Waiting           int
+	Work              float64
+	ArrivalsPerSecond float64
 }
 
 type wireLimit struct {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -109,6 +110,18 @@
 	return memoryUse(engine, stage) < maxMemoryUse
 }
 
+// MemoryRoom returns for how many more requests a stage is estimated to have memory. It returns
+// false if its memory is not known, which does not bound them.
+func MemoryRoom(engine *deployment.Engine, stage *Stage) (int, bool) {
+	one := *stage
+	one.Requests = 1
+	perRequest := memoryUse(engine, &one)
+	if perRequest <= 0 {
+		return 0, false
+	}
+	return max(0, int(math.Ceil(maxMemoryUse/perRequest))-stage.Requests), true
+}
+
 // Path is a sequence of stages that runs all layers, with its predicted cost.
 type Path struct {
 	Hops []deployment.Hop
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -199,6 +199,7 @@
 // the other zones, until ctx ends.
 func (r *Router) broadcastLoads(ctx context.Context) {
 	var last backend.StageLoads
+	hadDemand := false // in the last message
 	unchanged := 0
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
@@ -213,11 +214,13 @@
 		r.repeatLinksState(now)
 		r.gateway.ShareRetries(now)
 		loads, limits, cutOff := r.fleet.SnapshotLoads(), r.fleet.LimitReports(now), r.outOfReach(now)
-		if unchanged++; maps.Equal(loads, last) && len(limits) == 0 && !cutOff && unchanged < unchangedLoadTicks {
+		demand := r.gateway.Demand(now)
+		hasNews := len(limits) > 0 || cutOff || len(demand) > 0 || hadDemand
+		if unchanged++; maps.Equal(loads, last) && !hasNews && unchanged < unchangedLoadTicks {
 			continue
 		}
-		last, unchanged = loads, 0
-		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits, CutOff: cutOff})
+		last, unchanged, hadDemand = loads, 0, len(demand) > 0
+		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits, CutOff: cutOff, Demand: demand})
 	}
 }
 
@@ -371,6 +374,7 @@
 		r.relayPeers.SetLoad(deployment.InstanceID(from.Instance), backend.StageLoads(message.Loads).Total())
 		r.relayPeers.SetReaching(now, deployment.InstanceID(from.Instance), !message.CutOff)
 		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
+		r.gateway.SetPeerDemand(now, deployment.InstanceID(from.Instance), message.Demand)
 		r.logLimitsTold(from, r.fleet.SetPeerLimits(now, deployment.InstanceID(from.Instance), message.Limits))
 	case peer.LinksState:
 		r.relayPeers.SetReaching(time.Now(), deployment.InstanceID(from.Instance), !message.CutOff)
