--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -29,6 +29,9 @@
 	// Elsewhere is how many more urgent requests wait at other instances of the zone, weighted by
 	// the age of their reports.
 	Elsewhere float64
+	// Arriving is how many more urgent requests are expected to arrive before a request in flight
+	// ends.
+	Arriving  float64
 	OldestAge time.Duration // of the reports that were used
 }
 
@@ -41,11 +44,13 @@
 	}
 	var d Decision
 	d.Elsewhere, d.OldestAge = q.waitingElsewhere(now, r.Rank)
-	if d.Elsewhere == 0 {
+	arrivals := q.urgentArrivals(now, r.Rank)
+	if d.Elsewhere == 0 && arrivals == 0 {
 		return Decision{Admitted: true}
 	}
 	d.Capacity = capacity()
-	left := float64(d.Capacity.Free) - d.Elsewhere
+	d.Arriving = arrivals * q.untilNextEnd(d.Capacity).Seconds()
+	left := float64(d.Capacity.Free) - d.Elsewhere - d.Arriving
 	// Without free capacity the search for a path fails, and nothing is held back.
 	if left >= 1 || d.Capacity.Free < 1 {
 		d.Admitted = true
@@ -76,14 +81,60 @@
 	return requests, oldest
 }
 
+// urgentArrivals returns how many requests a second arrive in the zone of those ranks that are more
+// urgent than another one and for which capacity is short.
+func (q *Queue) urgentArrivals(now time.Time, rank routing.Rank) float64 {
+	arrivals := 0.0
+	for _, state := range q.ranks {
+		if state.rank.Compare(rank) < 0 && q.short(now, state.rank) {
+			arrivals += state.arrivalsPerSecond(now)
+		}
+	}
+	for _, report := range q.reports {
+		for i := range report.demand {
+			if d := &report.demand[i]; d.Rank.Compare(rank) < 0 && q.short(now, d.Rank) {
+				arrivals += report.weight(now) * d.ArrivalsPerSecond
+			}
+		}
+	}
+	return arrivals
+}
+
+// short reports whether requests of a rank have waited lately in the zone.
+func (q *Queue) short(now time.Time, rank routing.Rank) bool {
+	if index, ok := q.search(rank); ok && q.ranks[index].short(now) {
+		return true
+	}
+	for _, report := range q.reports {
+		if now.Sub(report.at) > shortageAge {
+			continue
+		}
+		for i := range report.demand {
+			if report.demand[i].Waiting > 0 && report.demand[i].Rank == rank {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// untilNextEnd returns the mean time until one of the requests in flight ends, 0 if it is not
+// known.
+func (q *Queue) untilNextEnd(capacity Capacity) time.Duration {
+	if capacity.InFlight == 0 {
+		return 0
+	}
+	return q.answerTime / time.Duration(capacity.InFlight)
+}
+
 // longestHoldBack returns how long the requests of a rank may be held back so that the rank gets
 // one in guaranteedShare of the admissions of the service, of which this instance has the part
 // that it has of the waiting requests of the rank.
 func (q *Queue) longestHoldBack(now time.Time, state *rankState, capacity Capacity) time.Duration {
-	if q.answerTime == 0 || capacity.InFlight == 0 {
+	interval := guaranteedShare * q.untilNextEnd(capacity).Seconds()
+	if interval == 0 {
 		return maxHoldBack
 	}
-	interval := guaranteedShare * q.answerTime.Seconds() / float64(capacity.InFlight)
 	own := float64(max(1, state.waiting))
 	all := own
 	for _, report := range q.reports {
--- a/internal/admission/decision_test.go
+++ b/internal/admission/decision_test.go
@@ -128,3 +128,27 @@
 	assert.DeepEqual(t, got[0], PriorityDemand{Rank: urgent, Waiting: 1, Work: 100, ArrivalsPerSecond: 1})
 	assert.DeepEqual(t, got[1], PriorityDemand{Rank: middle, Waiting: 2, Work: 200, ArrivalsPerSecond: 3})
 }
+
+// TestCapacityIsReservedForArrivals guards against urgent requests that find no slot since the last
+// one went to a less urgent request just before, and against a reserve that stays when there is no
+// shortage, or is greater than what arrives before a slot becomes free.
+func TestCapacityIsReservedForArrivals(t *testing.T) {
+	var q Queue
+	q.RecordAnswer(2 * time.Second) // one of 100 in flight ends each 20 ms
+	now := start
+	for range 1000 { // 100 a second
+		now = now.Add(10 * time.Millisecond)
+		q.RecordArrival(now, request(now, urgent))
+	}
+	assert.Assert(t, q.Decide(now, request(now, middle), free(1)).Admitted, "capacity is not short")
+	waiting := request(now, urgent)
+	q.Push(now, waiting)
+	q.Admit(now, waiting)
+	for slots, admitted := range map[int]bool{2: false, 4: true} { // 2 arrive until a slot becomes free
+		d := q.Decide(now, request(now, middle), free(slots))
+		assert.Equal(t, d.Admitted, admitted, "%d free, %.2f arriving", slots, d.Arriving)
+		assert.Assert(t, q.Decide(now, request(now, urgent), free(slots)).Admitted)
+	}
+	now = now.Add(shortageAge + time.Millisecond)
+	assert.Assert(t, q.Decide(now, request(now, middle), free(1)).Admitted, "no longer short")
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -154,8 +154,8 @@
 }
 
 func (e *leftToOthersError) Error() string {
-	return fmt.Sprintf("%d free slots are left to more urgent requests: %.1f wait at other instances, as reported up to %s ago",
-		e.Capacity.Free, e.Elsewhere, e.OldestAge.Round(time.Millisecond))
+	return fmt.Sprintf("%d free slots are left to more urgent requests: %.1f wait at other instances, as reported up to %s ago, and %.1f are expected",
+		e.Capacity.Free, e.Elsewhere, e.OldestAge.Round(time.Millisecond), e.Arriving)
 }
 
 // abandon removes a waiter whose context has ended and releases a reservation that was
