--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -61,7 +61,8 @@
 	// Blocked is set while the request could not use capacity that becomes free.
 	Blocked bool
 
-	state *rankState // nil until it waits
+	state     *rankState   // nil until it waits
+	effective routing.Rank // by which it is ordered, as of the last call of Ordered
 }
 
 // onTime reports whether a request can still meet its target latency.
@@ -76,8 +77,8 @@
 		return a.Resumed
 	case a.HasPath != b.HasPath:
 		return b.HasPath
-	case a.Rank != b.Rank:
-		return a.Rank.Compare(b.Rank) < 0
+	case a.effective != b.effective:
+		return a.effective.Compare(b.effective) < 0
 	case a.onTime(now) != b.onTime(now):
 		return a.onTime(now)
 	}
@@ -112,7 +113,9 @@
 		q.waitingSince = now
 	}
 	r.state = q.stateOf(now, r.Rank)
-	r.state.waiting++
+	if r.state.waiting++; r.state.waiting == 1 {
+		r.state.passedOver = 0
+	}
 	r.state.queuedAt = now
 	q.extendContention(now.Add(shortageAge))
 	q.waiting = append(q.waiting, r)
@@ -120,16 +123,16 @@
 
 // Preceded reports whether a waiting request goes before a new one, which then may not take
 // capacity at once.
-func (q *Queue) Preceded(_ time.Time, r *Request) bool {
-	if r.Resumed {
+func (q *Queue) Preceded(now time.Time, r *Request) bool {
+	if r.Resumed || len(q.waiting) == 0 {
 		return false
 	}
 	for _, waiting := range q.waiting {
-		if waiting.Resumed || r.HasPath || waiting.Rank.Compare(r.Rank) <= 0 {
+		if waiting.Resumed || r.HasPath || q.effectiveRank(now, waiting).Compare(r.Rank) <= 0 {
 			return true
 		}
 	}
-	return false
+	return q.newShares().due() != nil
 }
 
 // Remove removes a request. It does nothing if the request is not waiting.
@@ -147,7 +150,7 @@
 // must also be called for a request that got capacity without waiting.
 func (q *Queue) Admit(now time.Time, r *Request) {
 	q.Remove(r)
-	q.stateOf(now, r.Rank).heldSince = time.Time{}
+	q.recordAdmission(now, r)
 	q.recordWork(r)
 	q.admitted = append(q.admitted, now)
 	q.expireAdmitted(now)
@@ -169,8 +172,11 @@
 			q.extendContention(now.Add(shortageAge))
 		}
 	}
+	for _, r := range q.waiting {
+		r.effective = q.effectiveRank(now, r)
+	}
 	sort.SliceStable(q.waiting, func(i, j int) bool { return before(now, q.waiting[i], q.waiting[j]) })
-	return append([]*Request(nil), q.waiting...)
+	return q.share(append([]*Request(nil), q.waiting...))
 }
 
 // rate returns the recent admissions per second. It returns false if admissions have
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -6,14 +6,9 @@
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
-const (
-	// maxHoldBack bounds how long the requests of a rank are held back while capacity is free, also
-	// where the rate of admissions is not known.
-	maxHoldBack = time.Second
-	// guaranteedShare is the number of admissions of a service of which each rank that has
-	// requests gets at least one.
-	guaranteedShare = 20
-)
+// maxHoldBack bounds how long the requests of a rank are held back while capacity is free, also
+// where the rate of admissions is not known.
+const maxHoldBack = time.Second
 
 // Capacity is the capacity of a service as an instance sees it.
 type Capacity struct {
@@ -43,8 +38,9 @@
 		return Decision{Admitted: true}
 	}
 	var d Decision
-	d.Elsewhere, d.OldestAge = q.waitingElsewhere(now, r.Rank)
-	arrivals := q.urgentArrivals(now, r.Rank)
+	rank := q.effectiveRank(now, r)
+	d.Elsewhere, d.OldestAge = q.waitingElsewhere(now, rank)
+	arrivals := q.urgentArrivals(now, rank)
 	if d.Elsewhere == 0 && arrivals == 0 {
 		return Decision{Admitted: true}
 	}
@@ -57,6 +53,10 @@
 		return d
 	}
 	state := q.stateOf(now, r.Rank)
+	if state.waiting > 0 && q.newShares().due() == state {
+		d.Admitted = true
+		return d
+	}
 	if state.heldSince.IsZero() {
 		state.heldSince = now
 	}
--- a/internal/admission/ranks.go
+++ b/internal/admission/ranks.go
@@ -22,12 +22,13 @@
 
 // rankState is what a queue knows of its own requests of one rank.
 type rankState struct {
-	rank      routing.Rank
-	seenAt    time.Time // of the last arrival
-	arrivals  float64   // per second, as of seenAt
-	waiting   int
-	queuedAt  time.Time // when one last waited, zero if none did
-	heldSince time.Time // first request held back since the last admission, zero if none was
+	rank       routing.Rank
+	seenAt     time.Time // of the last arrival
+	arrivals   float64   // per second, as of seenAt
+	waiting    int
+	queuedAt   time.Time // when one last waited, zero if none did
+	passedOver int       // admissions of other ranks since the last of this one, while one waited
+	heldSince  time.Time // first request held back since the last admission, zero if none was
 }
 
 // arrivalsPerSecond returns the recent arrivals per second.
