--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -41,10 +41,6 @@
 	// minRateSample is how long admissions must have been observed, while requests
 	// wait, before their rate is used to predict waiting times.
 	minRateSample = 500 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the time after which a rejected client
-	// should retry.
-	minRetryAfter = 500 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
 )
 
 // Request is a request that waits for capacity.
@@ -85,12 +81,6 @@
 	return a.Arrived.Before(b.Arrived)
 }
 
-// Rejection is a rejected request, with the time after which its client should retry.
-type Rejection struct {
-	Request    *Request
-	RetryAfter time.Duration
-}
-
 // Queue holds the waiting requests. It is not safe for concurrent use.
 type Queue struct {
 	waiting      []*Request
@@ -194,31 +184,3 @@
 	elapsed := now.Sub(first)
 	return max(minRate, float64(len(q.admitted))/elapsed.Seconds()), elapsed >= minRateSample
 }
-
-// Shed removes and returns the requests whose clients would give up before their turn,
-// or have reached their deadline.
-func (q *Queue) Shed(now time.Time) []Rejection {
-	rate, known := q.rate(now)
-	var rejections []Rejection
-	kept := q.waiting[:0]
-	for position, r := range q.Ordered(now) {
-		wait := time.Duration(0)
-		if known && !r.Resumed { // a resumed one waits to its deadline: its client has a part of the response
-			wait = time.Duration(float64(position) / rate * float64(time.Second))
-		}
-		if now.Add(wait).Before(r.Deadline) {
-			kept = append(kept, r)
-			continue
-		}
-		r.state.waiting--
-		rejections = append(rejections, Rejection{Request: r})
-	}
-	q.waiting = kept
-	backlog := time.Duration(float64(len(kept)) / rate * float64(time.Second))
-	for i := range rejections {
-		// Rejected clients retry one after the other, at the admission rate.
-		turn := time.Duration(float64(i) / rate * float64(time.Second))
-		rejections[i].RetryAfter = min(max(backlog+turn, minRetryAfter), maxRetryAfter)
-	}
-	return rejections
-}
--- a/internal/admission/ranks.go
+++ b/internal/admission/ranks.go
@@ -28,6 +28,7 @@
 	waiting    int
 	queuedAt   time.Time // when one last waited, zero if none did
 	passedOver int       // admissions of other ranks since the last of this one, while one waited
+	retryAt    time.Time // when the client that was rejected last should retry
 	heldSince  time.Time // first request held back since the last admission, zero if none was
 }
 
