--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,7 +22,6 @@
 package admission
 
 import (
-	"sort"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -48,6 +47,7 @@
 	Resumed       bool // its client has a part of the response
 	HasPath       bool // it still waits on an earlier path, which may go on
 	Rank          routing.Rank
+	Team          deployment.Team // empty without one
 	Arrived       time.Time
 	TargetLatency time.Duration // latency within which the response should begin
 	Deadline      time.Time     // when its client is assumed to give up
@@ -59,6 +59,8 @@
 
 	state     *rankState   // nil until it waits
 	effective routing.Rank // by which it is ordered, as of the last call of Ordered
+	start     float64      // virtual time of its team, as of the last call of Ordered
+	charged   float64      // work for which its team was charged, 0 before
 }
 
 // onTime reports whether a request can still meet its target latency.
@@ -77,6 +79,8 @@
 		return a.effective.Compare(b.effective) < 0
 	case a.onTime(now) != b.onTime(now):
 		return a.onTime(now)
+	case a.start != b.start:
+		return a.start < b.start
 	}
 	return a.Arrived.Before(b.Arrived)
 }
@@ -92,6 +96,7 @@
 	contendedUntil time.Time
 	answerTime     time.Duration // mean, 0 if unknown
 	typicalWork    float64       // mean of the known ones, in milliseconds, 0 if none was known
+	fairness       fairness
 }
 
 // Len returns the number of waiting requests.
@@ -102,7 +107,7 @@
 	if len(q.waiting) == 0 {
 		q.waitingSince = now
 	}
-	r.state = q.stateOf(now, r.Rank)
+	r.state, r.effective = q.stateOf(now, r.Rank), r.Rank
 	if r.state.waiting++; r.state.waiting == 1 {
 		r.state.passedOver = 0
 	}
@@ -142,6 +147,7 @@
 	q.Remove(r)
 	q.recordAdmission(now, r)
 	q.recordWork(r)
+	q.chargeTeam(now, r)
 	q.admitted = append(q.admitted, now)
 	q.expireAdmitted(now)
 }
@@ -162,10 +168,7 @@
 			q.extendContention(now.Add(shortageAge))
 		}
 	}
-	for _, r := range q.waiting {
-		r.effective = q.effectiveRank(now, r)
-	}
-	sort.SliceStable(q.waiting, func(i, j int) bool { return before(now, q.waiting[i], q.waiting[j]) })
+	q.order(now)
 	return q.share(append([]*Request(nil), q.waiting...))
 }
 
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -50,7 +50,7 @@
 // admissionRequest describes the stream to the admission queue.
 func (p *pathRequest) admissionRequest() *admission.Request {
 	return &admission.Request{
-		Resumed: p.resumed, HasPath: p.needed != nil, Rank: p.call.decision.Rank, Arrived: p.call.started,
+		Resumed: p.resumed, HasPath: p.needed != nil, Rank: p.call.decision.Rank, Team: p.call.decision.Team, Arrived: p.call.started,
 		TargetLatency: p.call.decision.Route.TargetLatency, Deadline: p.deadline(),
 	}
 }
