--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -201,8 +201,7 @@
 	defer cancel()
 	request := c.request
 	request.Header = c.request.Header.Clone()
-	request.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(c.remaining(time.Now())))
-	request.Header.Set(platform.HeaderExpectBackend, string(inFlight.Backend.ID))
+	c.setAttemptHeader(request.Header, time.Now(), inFlight.Backend.ID)
 	started := time.Now()
 	watched := b.gateway.ends.begin(c, inFlight.Servers(), false, nil)
 	arrived := b.arrived
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,8 +164,10 @@
 	attempts int          // including those that did not run
 	reroutes atomic.Int64 // of the current attempt and earlier ones
 	size     deployment.RequestSize
-	parts    []deployment.PromptPartID // of the prompt, in order
-	keys     []poison.Key
+	// priorityHeader is sent to the backend servers, empty if they need none.
+	priorityHeader string
+	parts          []deployment.PromptPartID // of the prompt, in order
+	keys           []poison.Key
 	// endedServer is set once a backend server has ended during an attempt that had not
 	// begun to be answered.
 	endedServer atomic.Bool
@@ -241,6 +243,7 @@
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, ID: c.id,
 		Header: forwardedHeader(r.Header, decision.Team), Body: body,
 	}
+	c.priorityHeader = priorityHeader(table, name, decision.Rank)
 	c.size = platform.ParseRequestSize(r.Header)
 	c.parts = platform.ParsePromptParts(r.Header)
 	c.keys = keysOf(c)
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
 )
 
@@ -49,6 +52,25 @@
 	return header
 }
 
+// priorityHeader returns how urgent a request is for the backend servers of a service, empty if
+// they need not know.
+func priorityHeader(table *routing.Table, service deployment.ServiceName, rank routing.Rank) string {
+	priority, ok := table.ServerPriority(service, rank)
+	if !ok {
+		return ""
+	}
+	return strconv.Itoa(priority)
+}
+
+// setAttemptHeader sets what the header of each attempt has in common.
+func (c *call) setAttemptHeader(header http.Header, now time.Time, to deployment.BackendID) {
+	header.Set(platform.HeaderDeadline, platform.FormatDeadline(c.remaining(now)))
+	header.Set(platform.HeaderExpectBackend, string(to))
+	if c.priorityHeader != "" {
+		header.Set(platform.HeaderPriority, c.priorityHeader)
+	}
+}
+
 // copyResponseHeader copies the header of a backend server's response to the client's
 // response.
 func copyResponseHeader(to, from http.Header) {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -83,6 +83,9 @@
 			instance: request.From, ran: request.Ran, resumed: isResumed(request),
 		},
 	}
+	if table, ok := g.RoutingTable.Load(); ok {
+		c.priorityHeader = priorityHeader(table, service.Name, request.Rank)
+	}
 	c.keys = keysOf(c)
 	return c
 }
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -155,8 +155,7 @@
 func (s *stream) backendRequest(path pipeline.Path, now time.Time) backend.Request {
 	request := s.call.request
 	request.Header = request.Header.Clone()
-	request.Header.Set(platform.HeaderDeadline, platform.FormatDeadline(s.call.remaining(now)))
-	request.Header.Set(platform.HeaderExpectBackend, string(path.IDs[0]))
+	s.call.setAttemptHeader(request.Header, now, path.IDs[0])
 	request.Header.Set(platform.HeaderPath, platform.FormatPath(path.Hops))
 	if s.hasLastEventID {
 		request.Header.Set(platform.HeaderLastEventID, strconv.FormatInt(s.lastEventID, 10))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -28,6 +28,7 @@
 	hosts         map[string][]*deployment.Route // longest prefix first
 	teams         map[deployment.APIKey]*deployment.TeamKeys
 	services      map[deployment.ServiceName]*deployment.Service
+	ranks         map[deployment.ServiceName][]Rank // of requests, from the most urgent
 }
 
 // NewTable builds a table from a configuration, which must not change afterwards.
@@ -37,6 +38,7 @@
 		hosts:         map[string][]*deployment.Route{},
 		teams:         map[deployment.APIKey]*deployment.TeamKeys{},
 		services:      map[deployment.ServiceName]*deployment.Service{},
+		ranks:         ranksOf(&c),
 	}
 	for i := range c.Routes {
 		route := &c.Routes[i]
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -97,3 +97,38 @@
 		}
 	}
 }
+
+// TestServerPriority guards against requests that a backend server takes for equally urgent, and
+// against a header where the priorities of the routes don't differ.
+func TestServerPriority(t *testing.T) {
+	route := func(service deployment.ServiceName, priority int) deployment.Route {
+		return deployment.Route{Priority: priority, Targets: []deployment.WeightedService{{Service: service, Weight: 1}}}
+	}
+	engine := &deployment.Engine{}
+	c := deployment.Configuration{
+		Routes:   []deployment.Route{route("model", 2), route("model", 0), route("equal", 1), route("equal", 1), route("plain", 0), route("plain", 1)},
+		Services: []deployment.Service{{Name: "model", Engine: engine}, {Name: "equal", Engine: engine}, {Name: "plain"}},
+		Teams:    []deployment.TeamKeys{{Team: "one", Priority: 1, HasPriority: true}},
+	}
+	for i := range 8 {
+		c.Routes = append(c.Routes, route("many", i*10))
+	}
+	c.Services = append(c.Services, deployment.Service{Name: "many", Engine: engine})
+	table := NewTable(c)
+	for rank, want := range map[Rank]int{{Priority: 0, Route: 0}: 0, {Priority: 1, Route: 0}: 1, {Priority: 1, Route: 2}: 2, {Priority: 2, Route: 2}: 3, {Priority: 7, Route: 7}: 4, {Priority: -1}: 0} {
+		got, ok := table.ServerPriority("model", rank)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, want, "%s", rank)
+	}
+	for _, service := range []deployment.ServiceName{"equal", "plain", "unknown"} {
+		_, ok := table.ServerPriority(service, Rank{})
+		assert.Assert(t, !ok, "%s", service)
+	}
+	last := 0
+	for i := range 8 { // 16 ranks
+		got, ok := table.ServerPriority("many", Rank{Priority: i * 10, Route: i * 10})
+		assert.Assert(t, ok && got >= last && got <= 9)
+		last = got
+	}
+	assert.Equal(t, last, 9)
+}
