--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -74,7 +74,7 @@
 func (g *Gateway) relayedCall(now time.Time, request *relay.Request, service *deployment.Service) *call {
 	c := &call{
 		id: request.ID, started: now, deadline: now.Add(request.Remaining), service: service, version: request.Version,
-		decision: routing.Decision{Route: request.Route.Configured(), Team: request.Team, Priority: request.Priority},
+		decision: routing.Decision{Route: request.Route.Configured(), Team: request.Team, Rank: request.Rank},
 		request: backend.Request{
 			Method: request.Method, URI: request.URI, Host: request.Host, ID: request.ID, Header: request.Header, Body: request.Body,
 		},
@@ -83,6 +83,9 @@
 			instance: request.From, ran: request.Ran, resumed: isResumed(request),
 		},
 	}
+	if table, ok := g.RoutingTable.Load(); ok {
+		c.priorityHeader = priorityHeader(table, service.Name, request.Rank)
+	}
 	c.keys = keysOf(c)
 	return c
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"errors"
 	"testing"
 
@@ -33,19 +34,19 @@
 		key        deployment.APIKey
 		route      deployment.RouteName
 		team       deployment.Team
-		priority   int
+		rank       Rank
 	}{
-		{"a.example", "/x/", "k1", "all", "one", 3},
-		{"a.example", "/x/y/z", "k2", "deep", "one", 2},
-		{"a.example", "/x/y", "k3", "all", "two", 0},
-		{"b.example", "/", "", "open", "", 0},
-		{"b.example", "/", "gone", "open", "", 0},
+		{"a.example", "/x/", "k1", "all", "one", Rank{Priority: 3, Route: 3}},
+		{"a.example", "/x/y/z", "k2", "deep", "one", Rank{Priority: 2, Route: 2}},
+		{"a.example", "/x/y", "k3", "all", "two", Rank{Priority: 0, Route: 3}},
+		{"b.example", "/", "", "open", "", Rank{}},
+		{"b.example", "/", "gone", "open", "", Rank{}},
 	} {
 		got, err := table.Decide(c.host, c.path, c.key)
 		assert.NilError(t, err)
 		assert.Equal(t, got.Route.Name, c.route)
 		assert.Equal(t, got.Team, c.team)
-		assert.Equal(t, got.Priority, c.priority)
+		assert.Equal(t, got.Rank, c.rank)
 	}
 	var unknown *UnknownKeyError
 	_, err := table.Decide("a.example", "/", "gone")
@@ -85,3 +86,49 @@
 	_, ok := PickService(&deployment.Route{}, 0.5)
 	assert.Assert(t, !ok)
 }
+
+// TestRankOrder guards against routes that are equally urgent for all requests whose teams have
+// the same priority.
+func TestRankOrder(t *testing.T) {
+	ordered := []Rank{{Priority: 0, Route: 9}, {Priority: 1, Route: 0}, {Priority: 1, Route: 2}, {Priority: 2, Route: -1}}
+	for i, a := range ordered {
+		for j, b := range ordered {
+			assert.Equal(t, a.Compare(b), cmp.Compare(i, j), "%s, %s", a, b)
+		}
+	}
+}
+
+// TestServerPriority guards against requests that a backend server takes for equally urgent, and
+// against a header where the priorities of the routes don't differ.
+func TestServerPriority(t *testing.T) {
+	route := func(service deployment.ServiceName, priority int) deployment.Route {
+		return deployment.Route{Priority: priority, Targets: []deployment.WeightedService{{Service: service, Weight: 1}}}
+	}
+	engine := &deployment.Engine{}
+	c := deployment.Configuration{
+		Routes:   []deployment.Route{route("model", 2), route("model", 0), route("equal", 1), route("equal", 1), route("plain", 0), route("plain", 1)},
+		Services: []deployment.Service{{Name: "model", Engine: engine}, {Name: "equal", Engine: engine}, {Name: "plain"}},
+		Teams:    []deployment.TeamKeys{{Team: "one", Priority: 1, HasPriority: true}},
+	}
+	for i := range 8 {
+		c.Routes = append(c.Routes, route("many", i*10))
+	}
+	c.Services = append(c.Services, deployment.Service{Name: "many", Engine: engine})
+	table := NewTable(c)
+	for rank, want := range map[Rank]int{{Priority: 0, Route: 0}: 0, {Priority: 1, Route: 0}: 1, {Priority: 1, Route: 2}: 2, {Priority: 2, Route: 2}: 3, {Priority: 7, Route: 7}: 4, {Priority: -1}: 0} {
+		got, ok := table.ServerPriority("model", rank)
+		assert.Assert(t, ok)
+		assert.Equal(t, got, want, "%s", rank)
+	}
+	for _, service := range []deployment.ServiceName{"equal", "plain", "unknown"} {
+		_, ok := table.ServerPriority(service, Rank{})
+		assert.Assert(t, !ok, "%s", service)
+	}
+	last := 0
+	for i := range 8 { // 16 ranks
+		got, ok := table.ServerPriority("many", Rank{Priority: i * 10, Route: i * 10})
+		assert.Assert(t, ok && got >= last && got <= 9)
+		last = got
+	}
+	assert.Equal(t, last, 9)
+}
