Streams with a target gap leave lost later stages within their pause

Cause: the loss of a later stage was known 350 ms after the last event at the earliest, from the report of the first stage, and a path with two lost stages was not rerouted at all. Each stream chose for itself, so that all took the same replacement, in no order. Change: the gateway runs the failure detector over the streams with target-gap-ms (silencewatch.go). Stages that don't answer are suspected and told to the zone; a peer's report is accepted once own streams are silent and the stage does not answer a probe. Stalled streams are moved by priority, then least remaining work, each to the replacement with the earliest end of its prefill (prefillload.go, reroute.go); what a first stage refuses is left out and the next choice follows. An event ends only suspicions that are older than the stream's typical interval. A first stage that broke off is not tried again while it is checked. The log has lines for the probes, the stall, the suspicion, the order and the first event after (explained in stallrecord.go). Streams without a target gap are served as before.

--- a/internal/backend/endpoints.go
+++ b/internal/backend/endpoints.go
@@ -62,3 +62,35 @@
 	}
 	return "", false
 }
+
+// ServerAt returns the entry of the backend server at an address, and false if none is known there.
+func (f *Fleet) ServerAt(address deployment.Address) (deployment.Backend, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.byAddress(address); s != nil {
+		return s.Backend, true
+	}
+	return deployment.Backend{}, false
+}
+
+// AddressOf returns the address of a backend server, and false if it is not known.
+func (f *Fleet) AddressOf(id deployment.BackendID) (deployment.Address, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.servers[id]; ok {
+		return s.Address, true
+	}
+	return "", false
+}
+
+// RequestsOn returns the requests of this instance on the backend server at an address, and the
+// estimated requests of all instances.
+func (f *Fleet) RequestsOn(now time.Time, address deployment.Address) (own, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load.expire(now)
+	if s := f.byAddress(address); s != nil {
+		return s.inFlight, f.requestsOn(s)
+	}
+	return 0, 0
+}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -142,6 +142,19 @@
 	}
 }
 
+// RecordPassed ends the suspicions of the stages of a path that began before a time, as an event
+// shows that they have run since. One that began later stays: the event may have passed the stage
+// before it was lost.
+func (f *Fleet) RecordPassed(path pipeline.Path, before time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range path.IDs {
+		if s, ok := f.servers[id]; ok && !s.suspectSince.IsZero() && s.suspectSince.Before(before) {
+			s.clearSuspicion()
+		}
+	}
+}
+
 // RecordFirstEvent records how long a request waited for its first event at the first
 // stage of its path, or has waited so far.
 func (f *Fleet) RecordFirstEvent(now time.Time, id deployment.BackendID, waited time.Duration) {
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,9 @@
 	if !underWay {
 		done = make(chan struct{})
 		e.checks[incarnation] = done
+		if !suspect.at.IsZero() {
+			e.brokeOff[suspect.server.ID] = true
+		}
 		go e.runCheck(suspect, done)
 	}
 	e.mu.Unlock()
@@ -89,10 +93,19 @@
 	}
 	e.mu.Lock()
 	delete(e.checks, incarnation)
+	delete(e.brokeOff, suspect.server.ID)
 	e.mu.Unlock()
 	close(done)
 }
 
+// underCheck returns the servers whose connections broke off in the middle of a stream and of which
+// it is being found out whether they have ended.
+func (e *endWatch) underCheck() map[deployment.BackendID]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.brokeOff)
+}
+
 // refuses reports whether connections to an address are refused.
 func (e *endWatch) refuses(address deployment.Address) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
--- a/internal/gateway/endverdict.go
+++ b/internal/gateway/endverdict.go
@@ -33,6 +33,9 @@
 	e.tell(own)
 	for _, end := range fresh {
 		e.config.Fleet.RecordPeerEnd(now, from, end.Incarnation)
+		if e.config.Fleet.Serving(end.Incarnation) {
+			e.onPeerEnd(now, end.Incarnation.Server)
+		}
 		e.logEnd(deployment.Backend{ID: end.Incarnation.Server, StartedAt: time.UnixMilli(end.Incarnation.StartedAt)}, toldByPeer, from, len(end.Blamed))
 	}
 	return news
--- a/internal/gateway/endwatch.go
+++ b/internal/gateway/endwatch.go
@@ -31,6 +31,8 @@
 type endWatch struct {
 	config    *Config
 	transport *backend.Transport
+	// onPeerEnd is called with each server that a peer has found ended.
+	onPeerEnd func(now time.Time, id deployment.BackendID)
 
 	mu       sync.Mutex
 	tracker  *poison.Tracker
@@ -38,6 +40,8 @@
 	broken   []*watchedAttempt // that had not begun, the earliest first
 	// checks are under way. The channel of a check is closed when it is done.
 	checks map[poison.Incarnation]chan struct{}
+	// brokeOff are the servers under check whose connections broke off in the middle of a stream.
+	brokeOff map[deployment.BackendID]bool
 	// lastSeen is when a backend server last was on the path of an event, as far as the
 	// attempts have ended.
 	lastSeen  map[poison.Incarnation]time.Time
@@ -49,7 +53,8 @@
 	return &endWatch{
 		config: config, transport: transport, tracker: poison.NewTracker(trialJitter(config.Settings.Instance)),
 		attempts: map[*watchedAttempt]bool{}, checks: map[poison.Incarnation]chan struct{}{},
-		lastSeen: map[poison.Incarnation]time.Time{},
+		lastSeen: map[poison.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
+		onPeerEnd: func(time.Time, deployment.BackendID) {},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 		started:     time.Now(),
 	}
 	g.monitor.successor = g.successor
+	ends.onPeerEnd = g.RecordPeerSuspicion
 	return g
 }
 
@@ -159,8 +160,10 @@
 	service  *deployment.Service
 	version  deployment.Version
 	request  backend.Request
-	attempts int          // including those that did not run
-	reroutes atomic.Int64 // of the current attempt and earlier ones
+	attempts int                         // including those that did not run
+	reroutes atomic.Int64                // of the current attempt and earlier ones
+	events   atomic.Int64                // that have arrived in all attempts
+	stall    atomic.Pointer[stallRecord] // nil unless the stream waits for a lost stage
 	size     deployment.RequestSize
 	parts    []deployment.PromptPartID // of the prompt, in order
 	keys     []poison.Key
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -110,6 +110,7 @@
 	if p.restricted() {
 		stages = p.allowedStages(stages)
 	}
+	p.skipChecked(stages)
 	path, ok := pipeline.Find(service.Engine, stages, p.gateway.Settings.Zone)
 	if !ok {
 		return path, &noPathError{missing: pipeline.MissingLayers(service.Engine, stages), stages: len(stages), ran: len(p.ran)}
@@ -134,6 +135,20 @@
 	return allowed
 }
 
+// skipChecked keeps first stages from being tried again that broke off in the middle of a stream,
+// until it is known whether they have ended: of a stream with a target gap each attempt counts.
+func (p *pathRequest) skipChecked(stages []pipeline.Stage) {
+	if route := p.call.decision.Route; route == nil || route.TargetEventGap <= 0 {
+		return
+	}
+	checked := p.gateway.ends.underCheck()
+	for i := range stages {
+		if checked[stages[i].ID] {
+			stages[i].Unreachable = true
+		}
+	}
+}
+
 // noPathError reports the layers that no usable stage holds.
 type noPathError struct {
 	missing []deployment.LayerRange
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,12 +22,15 @@
 	"mulberryhead.org/mulberryhead/platform"
 )
 
-// unreachable is an address to which connections hang.
-const unreachable = "unreachable:1"
+// unreachable is an address to which connections hang, as those that begin with unreachableHost.
+const (
+	unreachable     = unreachableHost + "1"
+	unreachableHost = "unreachable:"
+)
 
-// dialUnlessUnreachable connects, but hangs for unreachable.
+// dialUnlessUnreachable connects, but hangs for unreachable addresses.
 func dialUnlessUnreachable(ctx context.Context, network, address string) (net.Conn, error) {
-	if address == unreachable {
+	if strings.HasPrefix(address, unreachableHost) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -51,6 +51,7 @@
 	now := time.Now()
 	monitored.end(now)
 	s.next = monitored.takeSuccessor()
+	s.recordStall(err)
 	s.gateway.ends.finish(now, monitored.watched(), err != nil)
 	suspected := s.suspectedOf(now, monitored, err)
 	s.logAttempt(reserved, started, monitored.hasEvents.Load(), err)
@@ -58,6 +59,15 @@
 	return outcome, err
 }
 
+// recordStall records that a stream is to be sent again whose attempt broke off or was left.
+func (s *stream) recordStall(err error) {
+	if err == nil || !s.hasBegun() {
+		return
+	}
+	s.call.recordStall(s.lastEventAt, "resent")
+	s.call.markMoved("resent")
+}
+
 // countAttempt counts an attempt that begins.
 func (s *stream) countAttempt() {
 	s.mu.Lock()
@@ -237,6 +247,11 @@
 // observeEvent implements eventObserver.
 func (o *attemptObserver) observeEvent(now time.Time) {
 	g := o.stream.gateway
+	o.stream.call.events.Add(1)
+	o.stream.call.logContinued(g.Logger, now)
+	if interval, wasSilent := g.monitor.silence.event(now, o.monitored); wasSilent {
+		g.Fleet.RecordPassed(o.monitored.path(), now.Add(-interval))
+	}
 	if o.monitored.sinceLastEvent(now) >= stallThreshold {
 		g.Fleet.RecordResponsive(o.monitored.path())
 	}
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -13,8 +14,8 @@
 
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/failuredetector"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
-	"mulberryhead.org/mulberryhead/platform"
 )
 
 const (
@@ -23,8 +24,6 @@
 	// stallThreshold is the time without an event after which a stream's first stage is
 	// probed for stages that its requests wait for.
 	stallThreshold = 350 * time.Millisecond
-	// maxReroutes bounds the alternative paths tried for a stream with a failed stage.
-	maxReroutes = 3
 	// stallProbeInterval is the minimum interval between probes of the same first stage.
 	stallProbeInterval = 300 * time.Millisecond
 	// suspectProbeInterval is the minimum interval between probes of a suspected stage.
@@ -41,8 +40,9 @@
 	hasEvents   atomic.Bool  // at least one event has arrived
 	events      atomic.Int64 // since the last slowdown measurement
 	interrupted atomic.Bool
-	rerouting   atomic.Bool  // a reroute, or the search for another path, is in progress
-	seekAgain   atomic.Int64 // not to be rerouted before, Unix nanoseconds
+	rerouting   atomic.Bool              // a reroute, or the search for another path, is in progress
+	seekAgain   atomic.Int64             // not to be rerouted before, Unix nanoseconds
+	observed    failuredetector.StreamID // 0 if the stream has no target gap
 
 	mu        sync.Mutex
 	current   reservation
@@ -130,7 +130,10 @@
 	// successor waits for a path in the queue of the stream's service, or for a peer's answer.
 	successor func(ctx context.Context, request *pathRequest) (pathSuccessor, error)
 
+	silence *silenceWatch
+
 	mu         sync.Mutex
+	prefill    *prefillLoad
 	streams    map[*monitoredStream]bool
 	lastProbed map[deployment.Address]time.Time
 	// slowdownProbed is when a stage's slowdown was last probed, by any instance.
@@ -140,7 +143,7 @@
 
 func newStreamMonitor(config Config, ends *endWatch) *streamMonitor {
 	return &streamMonitor{config: config, ends: ends, streams: map[*monitoredStream]bool{}, lastProbed: map[deployment.Address]time.Time{},
-		slowdownProbed: map[deployment.BackendID]time.Time{}}
+		slowdownProbed: map[deployment.BackendID]time.Time{}, silence: newSilenceWatch(), prefill: newPrefillLoad(rand.Float64)}
 }
 
 // add begins to monitor an attempt. begun is set if the request's answer has begun before.
@@ -148,7 +151,9 @@
 	now := time.Now()
 	stream := &monitoredStream{call: c, current: reserved, interrupt: interrupt, sent: now, begun: begun}
 	stream.lastEvent.Store(now.UnixNano())
-	stream.watch = m.ends.begin(c, reserved.inFlight.Servers(), begun, interrupt)
+	servers := reserved.inFlight.Servers()
+	stream.watch = m.ends.begin(c, servers, begun, interrupt)
+	m.silence.begin(now, stream, servers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.streams[stream] = true
@@ -156,6 +161,7 @@
 }
 
 func (m *streamMonitor) remove(stream *monitoredStream) {
+	m.silence.end(stream)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.streams, stream)
@@ -163,6 +169,7 @@
 
 // MonitorStreams detects stalled streams and slow stages until ctx ends.
 func (g *Gateway) MonitorStreams(ctx context.Context) {
+	go g.monitor.watchSilence(ctx)
 	ticker := time.NewTicker(monitorInterval)
 	defer ticker.Stop()
 	for {
@@ -178,9 +185,7 @@
 			for _, address := range toProbe {
 				go g.monitor.probeFirstStage(ctx, address)
 			}
-			for _, stall := range stalled {
-				go g.monitor.reroute(ctx, stall)
-			}
+			g.monitor.moveStalled(ctx, now, stalled)
 			for _, stage := range g.monitor.slowdownsToProbe(now) {
 				go g.monitor.probeSlowdown(ctx, stage)
 			}
@@ -191,12 +196,6 @@
 	}
 }
 
-// stall is a stream that waits for a suspected stage.
-type stall struct {
-	stream *monitoredStream
-	since  int64 // time of its last event, Unix nanoseconds
-}
-
 // scan returns the stalled streams whose paths include a suspected stage, and the first
 // stages of the other stalled streams, as far as they are due to be probed.
 func (m *streamMonitor) scan(now time.Time) (stalled []stall, toProbe []deployment.Address) {
@@ -212,8 +211,9 @@
 			m.config.Fleet.RecordFirstEvent(now, path.IDs[0], now.Sub(stream.sent))
 		}
 		if len(m.config.Fleet.SuspectsOn(now, path)) > 0 {
-			stream.rerouting.Store(true)
-			stalled = append(stalled, stall{stream: stream, since: since})
+			if stream.rerouting.CompareAndSwap(false, true) {
+				stalled = append(stalled, stall{stream: stream, since: since, threshold: stallThreshold})
+			}
 			continue
 		}
 		first := path.Hops[0].Address
@@ -225,42 +225,6 @@
 	return stalled, toProbe
 }
 
-// reroute lets a stream continue on a path without its failed stage. The other stages
-// keep their state of the request. If that fails, the stream is sent again along another
-// path once one is reserved, if that is allowed. Otherwise it stays on its path.
-func (m *streamMonitor) reroute(ctx context.Context, stalled stall) {
-	stream := stalled.stream
-	defer stream.rerouting.Store(false)
-	defer func() { stream.seekAgain.Store(time.Now().Add(seekInterval).UnixNano()) }()
-	for range maxReroutes {
-		if !m.mayReroute(ctx, stream) {
-			stream.abandon()
-			return
-		}
-		if !m.stalledSince(stream, stalled.since) {
-			return
-		}
-		to, ok := m.findReroute(time.Now(), stream)
-		if !ok {
-			break
-		}
-		outcome, at, err := m.config.BackendClient.Reroute(ctx, to.path.Hops[0].Address, stream.call.id, to.path.Hops)
-		m.config.Logger.Info("request moved", zap.String("request", stream.call.id), zap.Stringer("outcome", outcome),
-			zap.String("path", platform.FormatPath(to.path.Hops)), zap.String("full", string(at)), zap.NamedError("cause", err))
-		if outcome == platform.RerouteDone {
-			stream.rewatch(time.Now(), m.ends, to.inFlight.Servers())
-			stream.switchTo(time.Now(), to)
-			return
-		}
-		to.inFlight.Done(time.Now(), backend.Inconclusive)
-		if outcome != platform.RerouteNoCapacity || at == "" {
-			break
-		}
-		m.config.markFull(time.Now(), at)
-	}
-	m.seekSuccessor(ctx, stream, stalled.since)
-}
-
 // mayReroute finds out whether the stages that a stream waits for have ended, and reports
 // whether the stream may be sent to others: one whose answer has not begun may be to blame.
 func (m *streamMonitor) mayReroute(ctx context.Context, stream *monitoredStream) bool {
@@ -281,29 +245,6 @@
 	return m.ends.admit(time.Now(), stream.call) == nil
 }
 
-// findReroute finds and reserves a path without the failed stage of a stream.
-func (m *streamMonitor) findReroute(now time.Time, stream *monitoredStream) (reservation, bool) {
-	service := stream.call.service
-	path := stream.path()
-	suspects := m.config.Fleet.SuspectsOn(now, path)
-	if len(suspects) != 1 {
-		return reservation{}, false
-	}
-	stages := m.config.Fleet.StagesWithFull(now, service)
-	rerouted, ok := pipeline.Reroute(service.Engine, stages, path, suspects[0])
-	if !ok || pipeline.Check(service.Engine, rerouted.Hops) != "" {
-		return reservation{}, false
-	}
-	if stream.resumable() && pipeline.ZoneCrossings(rerouted, stages) > 0 {
-		// The replacement stage would get the activations of all tokens so far over the
-		// inter-zone link, for all affected streams at once. A stream that is retried in
-		// another zone is computed there from the request instead.
-		return reservation{}, false
-	}
-	inFlight, ok := m.config.Fleet.Begin(now, rerouted)
-	return reservation{path: rerouted, inFlight: inFlight}, ok
-}
-
 // probeFirstStage fetches the report of a first stage and marks the stages that its
 // requests wait for as suspected. If the report can't be fetched or decoded, the first
 // stage itself is suspected.
--- a/internal/router/linksstate.go
+++ b/internal/router/linksstate.go
@@ -77,6 +77,9 @@
 // handleObservation records what a peer has observed of a backend server, and tells it in reply
 // what it can't know.
 func (r *Router) handleObservation(now time.Time, from peer.Hello, message peer.StageObserved) {
+	if message.What == backend.StageSuspected {
+		r.gateway.RecordPeerSuspicion(now, message.Backend)
+	}
 	reply, replies := r.fleet.RecordObservation(now, deployment.InstanceID(from.Instance), message.Backend, message.What)
 	if replies {
 		r.mesh.Send(from.Instance, peer.StageObserved{Backend: message.Backend, What: reply})
