--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -15,11 +15,9 @@
 // Demand returns the demand of this instance for each service for which requests have waited
 // lately, to be sent to the other instances of the zone. It is nil if there is none.
 func (g *Gateway) Demand(now time.Time) map[deployment.ServiceName][]admission.PriorityDemand {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	var demand map[deployment.ServiceName][]admission.PriorityDemand
-	for name, state := range g.services {
-		own := state.queue.demand(now)
+	for name, queue := range g.queues() {
+		own := queue.demand(now)
 		if own == nil {
 			continue
 		}
@@ -34,18 +32,37 @@
 // SetPeerDemand stores what another instance of the zone has reported with Demand. A service that
 // this instance has got no request for yet is left out.
 func (g *Gateway) SetPeerDemand(now time.Time, instance deployment.InstanceID, demand map[deployment.ServiceName][]admission.PriorityDemand) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	ignored := 0
-	for name, state := range g.services {
-		ignored += state.queue.setPeerDemand(now, instance, demand[name])
+	for name, queue := range g.queues() {
+		ignored += queue.setPeerDemand(now, instance, demand[name])
 	}
-	if ignored > 0 && now.Sub(g.invalidDemandLoggedAt) >= invalidDemandLogInterval {
-		g.invalidDemandLoggedAt = now
+	if ignored > 0 && g.mayLogInvalidDemand(now) {
 		g.Logger.Warn("reported demand is invalid and ignored", zap.String("instance", string(instance)), zap.Int("entries", ignored))
 	}
 }
 
+func (g *Gateway) mayLogInvalidDemand(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.invalidDemandLoggedAt) < invalidDemandLogInterval {
+		return false
+	}
+	g.invalidDemandLoggedAt = now
+	return true
+}
+
+// queues returns the queue of each service. A queue must not be called with mu held: it calls the
+// gateway while it dispatches.
+func (g *Gateway) queues() map[deployment.ServiceName]*queue {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	queues := make(map[deployment.ServiceName]*queue, len(g.services))
+	for name, state := range g.services {
+		queues[name] = state.queue
+	}
+	return queues
+}
+
 func (q *queue) demand(now time.Time) []admission.PriorityDemand {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"mulberryhead.org/mulberryhead/internal/admission"
+	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/routing"
 )
 
@@ -64,3 +65,41 @@
 	_, _, ok = q.reserveOrEnqueue(now, queuedRequest(now, routing.Rank{Priority: 1}), service)
 	assert.Assert(t, !ok, "an equally urgent one must wait its turn")
 }
+
+// gatewaySlots is a service whose reservations need the gateway's state, as those of streams do.
+type gatewaySlots struct {
+	slots
+	gateway   *Gateway
+	readyCall chan struct{}
+}
+
+func (s *gatewaySlots) ready(now time.Time) error {
+	close(s.readyCall)
+	time.Sleep(10 * time.Millisecond) // a report is made meanwhile
+	s.gateway.budget("svc").CanTake(now, false)
+	return nil
+}
+
+// TestReportsDoNotBlockDispatch guards against a queue that waits for the gateway's state while a
+// report waits for the queue with that state locked: no request is served from then on.
+func TestReportsDoNotBlockDispatch(t *testing.T) {
+	g := New(Config{Settings: deployment.Settings{RetryWindow: time.Second}})
+	q := g.queue("svc")
+	service := &gatewaySlots{slots: slots{free: 1}, gateway: g, readyCall: make(chan struct{})}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		now := time.Now()
+		_, _, _ = q.reserveOrEnqueue(now, queuedRequest(now, routing.Rank{}), service)
+	}()
+	<-service.readyCall
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		g.Demand(time.Now())
+		g.SetPeerDemand(time.Now(), "peer", nil)
+	}()
+	// If they wait for one another, the time limit of go test ends this.
+	<-done
+	<-reported
+}
