--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	defer g.mu.Unlock()
 	state, ok := g.services[name]
 	if !ok {
-		state = &serviceState{budget: retrybudget.NewWindowBudget(g.started, g.retryBounds, g.instances), queue: newQueue()}
+		state = &serviceState{budget: retrybudget.NewWindowBudget(g.started, g.retryBounds, g.instances), queue: newQueue(newQueueObserver(&g.Config, name))}
 		g.services[name] = state
 	}
 	return state
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	cuts        *prometheus.CounterVec
 	backendEnds *prometheus.CounterVec
 	heldKeys    prometheus.Gauge
+	admission   *admissionMetrics
 }
 
 // NewMetrics returns Metrics registered with registry.
@@ -43,6 +44,7 @@
 		Name: "mulberryhead_held_keys", Help: "Parts of prompts, and whole requests, that are not sent because backend servers ended on them.",
 	})
 	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.cuts, m.backendEnds, m.heldKeys)
+	m.admission = newAdmissionMetrics(registry)
 	return m
 }
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -63,6 +63,7 @@
 	retryAfter time.Duration
 	turnedAway bool // it must not wait, for lastErr
 	enqueued   time.Time
+	heldBack   bool // at least once
 	// lastErr is why the last check made no reservation. It is nil if the request was
 	// never checked because earlier ones got no reservation.
 	lastErr error
@@ -76,10 +77,11 @@
 	running   bool
 	// capacity is what capacityOf returned last, nil once it must be computed anew.
 	capacity *admission.Capacity
+	observer queueObserver
 }
 
-func newQueue() *queue {
-	return &queue{waiters: map[*admission.Request]*waiter{}}
+func newQueue(observer queueObserver) *queue {
+	return &queue{waiters: map[*admission.Request]*waiter{}, observer: observer}
 }
 
 // turnedAway reports whether a request does not wait after an error of ready.
@@ -125,12 +127,15 @@
 		var result reservation
 		if result, lastErr = q.reserve(now, request, reserver); lastErr == nil {
 			q.admission.Admit(now, request)
+			q.observer.admitted(request, 0)
 			return nil, result, true
 		}
 	}
 	w := &waiter{request: request, reserver: reserver, enqueued: now, lastErr: lastErr, reserved: make(chan reservation, 1), rejected: make(chan struct{})}
 	q.waiters[request] = w
 	q.admission.Push(now, request)
+	q.observer.enqueued(request)
+	q.recordHeldBack(w)
 	if !q.running {
 		q.running = true
 		go q.run()
@@ -177,8 +182,10 @@
 func (q *queue) abandon(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.admission.Remove(w.request)
-	delete(q.waiters, w.request)
+	if q.waiters[w.request] == w {
+		q.admission.Remove(w.request)
+		q.forget(w)
+	}
 	select {
 	case result := <-w.reserved:
 		result.release(time.Now())
@@ -186,6 +193,21 @@
 	}
 }
 
+// forget removes a waiter that no longer waits.
+func (q *queue) forget(w *waiter) {
+	delete(q.waiters, w.request)
+	q.observer.left(w.request)
+}
+
+// recordHeldBack records the first time that a waiter leaves free capacity to others.
+func (q *queue) recordHeldBack(w *waiter) {
+	var left *leftToOthersError
+	if !w.heldBack && errors.As(w.lastErr, &left) {
+		w.heldBack = true
+		q.observer.heldBack(w.request, &left.Decision)
+	}
+}
+
 // run dispatches reservations while requests wait.
 func (q *queue) run() {
 	for q.dispatch(time.Now()) {
@@ -204,7 +226,7 @@
 		if w.lastErr = w.reserver.ready(now); w.lastErr != nil {
 			if w.turnedAway = turnedAway(w.lastErr); w.turnedAway {
 				q.admission.Remove(request)
-				delete(q.waiters, request)
+				q.forget(w)
 				close(w.rejected)
 			}
 			request.Blocked = true
@@ -212,18 +234,21 @@
 		}
 		var result reservation
 		if result, w.lastErr = q.reserve(now, request, w.reserver); w.lastErr != nil {
+			q.recordHeldBack(w)
 			if request.Blocked = w.reserver.restricted(); request.Blocked || isLeftToOthers(w.lastErr) {
 				continue
 			}
 			break // the requests behind it would find no path either
 		}
 		q.admission.Admit(now, request)
-		delete(q.waiters, request)
+		q.forget(w)
+		q.observer.admitted(request, now.Sub(w.enqueued))
 		w.reserved <- result
 	}
 	for _, rejection := range q.admission.Shed(now) {
 		w := q.waiters[rejection.Request]
-		delete(q.waiters, rejection.Request)
+		q.forget(w)
+		q.observer.rejected(&rejection, now.Sub(w.enqueued), w.lastErr)
 		w.retryAfter = rejection.RetryAfter
 		close(w.rejected)
 	}
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"mulberryhead.org/mulberryhead/internal/admission"
@@ -40,7 +42,7 @@
 // the slot for which more urgent ones wait at another instance, and against one that holds it back
 // when these no longer wait.
 func TestQueueLeavesCapacityToMoreUrgentPeers(t *testing.T) {
-	q, service := newQueue(), &slots{free: 1}
+	q, service := newQueue(queueObserver{}), &slots{free: 1}
 	now := time.Now()
 	q.setPeerDemand(now, "peer", []admission.PriorityDemand{{Rank: routing.Rank{}, Waiting: 2}})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -55,7 +57,7 @@
 // TestUrgentRequestPassesWaitingOnes guards against an urgent request that waits for the next
 // dispatch, because less urgent ones wait for capacity that is left to other instances.
 func TestUrgentRequestPassesWaitingOnes(t *testing.T) {
-	q, service := newQueue(), &slots{free: 1}
+	q, service := newQueue(queueObserver{}), &slots{free: 1}
 	now := time.Now()
 	q.running = true // no dispatch during the test
 	q.admission.Push(now, queuedRequest(now, routing.Rank{Priority: 1}))
@@ -103,3 +105,52 @@
 	<-done
 	<-reported
 }
+
+// TestQueueIsMeasuredByRank guards against waiting requests that are counted twice or never when they
+// leave the queue, and against labels without bound.
+func TestQueueIsMeasuredByRank(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	metrics := NewMetrics(registry)
+	q, service := newQueue(newQueueObserver(&Config{Metrics: metrics, Logger: zap.NewNop()}, "svc")), &slots{free: 1}
+	now := time.Now()
+	rank := routing.Rank{Priority: 1, Route: 2}
+	value := func(name string) float64 {
+		families, err := registry.Gather()
+		assert.NilError(t, err)
+		for _, family := range families {
+			if family.GetName() == "mulberryhead_queue_"+name {
+				assert.Equal(t, family.GetMetric()[0].GetLabel()[0].GetValue(), "1.2")
+				return family.GetMetric()[0].GetGauge().GetValue() + family.GetMetric()[0].GetCounter().GetValue()
+			}
+		}
+		return 0
+	}
+	q.running = true // no dispatch but those of the test
+	enqueue := func(deadline time.Time) *waiter {
+		r := queuedRequest(now, rank)
+		r.Deadline = deadline
+		w, _, ok := q.reserveOrEnqueue(now, r, service)
+		assert.Assert(t, !ok)
+		return w
+	}
+	q.setPeerDemand(now, "peer", []admission.PriorityDemand{{Waiting: 3}})
+	enqueue(now.Add(time.Minute))
+	abandoned := enqueue(now.Add(time.Minute))
+	enqueue(now)
+	assert.Equal(t, value("waiting"), 3.0)
+	assert.Equal(t, value("held_back_total"), 1.0) // the others wait behind it
+	q.abandon(abandoned)
+	q.abandon(abandoned)
+	q.dispatch(now)
+	assert.Equal(t, value("waiting"), 1.0)
+	assert.Equal(t, value("rejected_total"), 1.0)
+	q.setPeerDemand(now, "peer", nil)
+	q.dispatch(now)
+	assert.Equal(t, value("waiting"), 0.0)
+	assert.Equal(t, value("admitted_total"), 1.0)
+	assert.Equal(t, value("held_back_total"), 2.0)
+	for i := range 100 {
+		metrics.admission.label(routing.Rank{Priority: i})
+	}
+	assert.Equal(t, metrics.admission.label(routing.Rank{Priority: 99}), otherRanks)
+}
