--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -63,6 +63,7 @@
 	retryAfter time.Duration
 	turnedAway bool // it must not wait, for lastErr
 	enqueued   time.Time
+	heldBack   bool // at least once
 	// lastErr is why the last check made no reservation. It is nil if the request was
 	// never checked because earlier ones got no reservation.
 	lastErr error
@@ -74,10 +75,13 @@
 	admission admission.Queue
 	waiters   map[*admission.Request]*waiter
 	running   bool
+	// capacity is what capacityOf returned last, nil once it must be computed anew.
+	capacity *admission.Capacity
+	observer queueObserver
 }
 
-func newQueue() *queue {
-	return &queue{waiters: map[*admission.Request]*waiter{}}
+func newQueue(observer queueObserver) *queue {
+	return &queue{waiters: map[*admission.Request]*waiter{}, observer: observer}
 }
 
 // turnedAway reports whether a request does not wait after an error of ready.
@@ -116,18 +120,22 @@
 func (q *queue) reserveOrEnqueue(now time.Time, request *admission.Request, reserver reserver) (*waiter, reservation, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.capacity = nil
 	lastErr := reserver.ready(now)
 	q.admission.RecordArrival(now, request)
 	if lastErr == nil && !q.admission.Preceded(now, request) {
 		var result reservation
 		if result, lastErr = q.reserve(now, request, reserver); lastErr == nil {
 			q.admission.Admit(now, request)
+			q.observer.admitted(request, 0)
 			return nil, result, true
 		}
 	}
 	w := &waiter{request: request, reserver: reserver, enqueued: now, lastErr: lastErr, reserved: make(chan reservation, 1), rejected: make(chan struct{})}
 	q.waiters[request] = w
 	q.admission.Push(now, request)
+	q.observer.enqueued(request)
+	q.recordHeldBack(w)
 	if !q.running {
 		q.running = true
 		go q.run()
@@ -138,13 +146,24 @@
 // reserve reserves capacity. The error is a *leftToOthersError if the request must leave what is
 // free to more urgent ones.
 func (q *queue) reserve(now time.Time, request *admission.Request, reserver reserver) (reservation, error) {
-	decision := q.admission.Decide(now, request, func() admission.Capacity { return reserver.capacity(now) })
+	decision := q.admission.Decide(now, request, func() admission.Capacity { return q.capacityOf(now, reserver) })
 	if !decision.Admitted {
 		return reservation{}, &leftToOthersError{Decision: decision}
 	}
+	q.capacity = nil
 	return reserver.reserve(now)
 }
 
+// capacityOf returns the capacity of the service. During a dispatch it is computed once until the
+// next reservation, since it takes as long as the search for a path.
+func (q *queue) capacityOf(now time.Time, reserver reserver) admission.Capacity {
+	if q.capacity == nil {
+		capacity := reserver.capacity(now)
+		q.capacity = &capacity
+	}
+	return *q.capacity
+}
+
 // leftToOthersError reports that a request was held back for more urgent ones of the zone.
 type leftToOthersError struct{ admission.Decision }
 
@@ -163,8 +182,10 @@
 func (q *queue) abandon(w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.admission.Remove(w.request)
-	delete(q.waiters, w.request)
+	if q.waiters[w.request] == w {
+		q.admission.Remove(w.request)
+		q.forget(w)
+	}
 	select {
 	case result := <-w.reserved:
 		result.release(time.Now())
@@ -172,6 +193,21 @@
 	}
 }
 
+// forget removes a waiter that no longer waits.
+func (q *queue) forget(w *waiter) {
+	delete(q.waiters, w.request)
+	q.observer.left(w.request)
+}
+
+// recordHeldBack records the first time that a waiter leaves free capacity to others.
+func (q *queue) recordHeldBack(w *waiter) {
+	var left *leftToOthersError
+	if !w.heldBack && errors.As(w.lastErr, &left) {
+		w.heldBack = true
+		q.observer.heldBack(w.request, &left.Decision)
+	}
+}
+
 // run dispatches reservations while requests wait.
 func (q *queue) run() {
 	for q.dispatch(time.Now()) {
@@ -184,12 +220,13 @@
 func (q *queue) dispatch(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.capacity = nil
 	for _, request := range q.admission.Ordered(now) {
 		w := q.waiters[request]
 		if w.lastErr = w.reserver.ready(now); w.lastErr != nil {
 			if w.turnedAway = turnedAway(w.lastErr); w.turnedAway {
 				q.admission.Remove(request)
-				delete(q.waiters, request)
+				q.forget(w)
 				close(w.rejected)
 			}
 			request.Blocked = true
@@ -197,18 +234,21 @@
 		}
 		var result reservation
 		if result, w.lastErr = q.reserve(now, request, w.reserver); w.lastErr != nil {
+			q.recordHeldBack(w)
 			if request.Blocked = w.reserver.restricted(); request.Blocked || isLeftToOthers(w.lastErr) {
 				continue
 			}
 			break // the requests behind it would find no path either
 		}
 		q.admission.Admit(now, request)
-		delete(q.waiters, request)
+		q.forget(w)
+		q.observer.admitted(request, now.Sub(w.enqueued))
 		w.reserved <- result
 	}
 	for _, rejection := range q.admission.Shed(now) {
 		w := q.waiters[rejection.Request]
-		delete(q.waiters, rejection.Request)
+		q.forget(w)
+		q.observer.rejected(&rejection, now.Sub(w.enqueued), w.lastErr)
 		w.retryAfter = rejection.RetryAfter
 		close(w.rejected)
 	}
