Explain tells the pauses of streams that waited for a lost stage

Cause: the times of silence, suspicion, decision, move and next event had to be put together by hand. Change: mulberryhead explain adds a line for each pause, and shows the lines of the stages that a stream suspected. TestHungFirstStageIsLeft covers an unresponsive first stage.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -92,7 +92,8 @@
 // Timeline returns the history of a request: its own lines, marked with an asterisk, and
 // the lines of any instance around that time that have the address of a backend server
 // that it was sent to, or that are about the store, the configuration, placement leases,
-// and starts, stops and pauses of instances.
+// and starts, stops and pauses of instances. A line for each pause of a stream that waited for a
+// lost stage follows.
 func (l *Log) Timeline(id string) string {
 	requestLines := l.requestLines(id)
 	if len(requestLines) == 0 {
@@ -113,6 +114,7 @@
 		}
 		out.WriteString(mark + formatLine(line) + "\n")
 	}
+	out.WriteString(l.pauses(requestLines))
 	return out.String()
 }
 
@@ -149,6 +151,9 @@
 		if address := line.field("address"); address != "" {
 			addresses[address] = true
 		}
+		for _, address := range suspectedBy(line) {
+			addresses[address] = true
+		}
 		for _, hop := range strings.Split(line.field("path"), ",") {
 			if address, _, found := strings.Cut(hop, "="); found {
 				addresses[address] = true
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -68,7 +68,7 @@
 	path := s.stream.path()
 	call := s.stream.call
 	call.recordStall(time.Unix(0, s.since), "stayed")
-	m.config.Logger.Info("stream stalled", zap.String("request", call.id), zap.String("first", string(path.Hops[0].Address)),
+	m.config.Logger.Info("stream stalled", zap.String("request", call.id), zap.String("address", string(path.Hops[0].Address)),
 		zap.Any("suspected", m.config.Fleet.SuspectsOn(now, path)), zap.Duration("since-event-ms", now.Sub(time.Unix(0, s.since))),
 		zap.Duration("threshold-ms", s.threshold), zap.Stringer("rank", call.decision.Rank), zap.Bool("reserved", s.reserved != nil))
 }
--- a/internal/gateway/reroute_test.go
+++ b/internal/gateway/reroute_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -179,11 +180,7 @@
 			go g.MonitorStreams(ctx)
 			response := httptest.NewRecorder()
 			g.serveStream(response, httptest.NewRequest(http.MethodPost, "http://h/x", nil), gapCall("r", 0))
-			want := ""
-			for event := range eventsInAll {
-				want += eventText(event + 1)
-			}
-			assert.Equal(t, response.Body.String(), want)
+			assert.Equal(t, response.Body.String(), allEvents())
 			last := test.first.orders[len(test.first.orders)-1]
 			assert.Assert(t, !strings.Contains(last.Path, string(lost[0])), last.Path)
 			if name == "refused once" {
@@ -193,6 +190,52 @@
 	}
 }
 
+// allEvents is the text of all events of a stream.
+func allEvents() string {
+	text := ""
+	for event := range eventsInAll {
+		text += eventText(event + 1)
+	}
+	return text
+}
+
+// TestHungFirstStageIsLeft guards against streams that stay on a first stage which no longer responds,
+// although a stage beside it does.
+func TestHungFirstStageIsLeft(t *testing.T) {
+	hung := (&fakeFirstStage{}).start(t)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderSignature, "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		last, err := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID))
+		assert.Check(t, err)
+		for event := last + 1; event <= eventsInAll; event++ {
+			_, _ = io.WriteString(w, eventText(event))
+		}
+	}))
+	t.Cleanup(other.Close)
+	fleet := backend.NewFleet("a")
+	later := listening(t)
+	fleet.Replace(time.Now(), []deployment.Backend{
+		stage("1", hung, "fast", 0), stage("2", deployment.Address(other.Listener.Addr().String()), "slow", 0),
+		{ID: "3", Service: "svc", Address: later, Zone: "a", Accelerator: "fast", Layers: deployment.LayerRange{First: 20, End: 80}},
+	})
+	g := testGateway(fleet)
+	g.ends.transport = backend.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == string(hung) {
+			address = unreachable // as seen by probes; streams have connected before
+		}
+		return dialUnlessUnreachable(ctx, network, address)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.MonitorStreams(ctx)
+	c := gapCall("r", 0)
+	c.decision.Route.Resumable, c.decision.Route.MaxAttempts = true, 2
+	response := httptest.NewRecorder()
+	g.serveStream(response, httptest.NewRequest(http.MethodPost, "http://h/x", nil), c)
+	assert.Equal(t, response.Body.String(), allEvents())
+}
+
 // TestStalledStreamsAreMovedInOrder guards against less urgent streams, or those with more work left,
 // that get the fastest replacement before the others, and against all getting the same one.
 func TestStalledStreamsAreMovedInOrder(t *testing.T) {
--- a/internal/gateway/silencewatch.go
+++ b/internal/gateway/silencewatch.go
@@ -200,7 +200,7 @@
 	if stream == nil {
 		return
 	}
-	m.config.Logger.Info("stages of silent streams probed", zap.String("first", string(stream.path().Hops[0].Address)), zap.String("stream", stream.call.id),
+	m.config.Logger.Info("stages of silent streams probed", zap.String("address", string(stream.path().Hops[0].Address)), zap.String("stream", stream.call.id),
 		zap.Int("streams", len(round.Streams)), zap.Int("stages", round.Stages), zap.Duration("since-event-ms", since), zap.Duration("threshold-ms", threshold))
 }
 
