--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -41,12 +41,15 @@
 // zoneLoad is a simulated load of three ranks on the instances of a zone, which share the slots of
 // one service and see the requests of others as these have reported them.
 type zoneLoad struct {
-	policy    policy
-	overload  float64 // load / capacity
-	random    *rand.Rand
-	instances []*loadInstance
-	routes    map[*Request]int // priority of the route, which only byRank knows
-	ranks     [3]tally
+	policy   policy
+	overload float64 // load / capacity
+	// endAt is when the first instance ends, and unreportedFrom to unreportedUntil when no report
+	// arrives; never if 0.
+	endAt, unreportedFrom, unreportedUntil time.Duration
+	random                                 *rand.Rand
+	instances                              []*loadInstance
+	routes                                 map[*Request]int // priority of the route, which only byRank knows
+	ranks                                  [3]tally
 	// large is of the team with half of the load, small of all others, and largest of the tenth of
 	// the requests with the most work.
 	all, large, small, largest tally
@@ -58,14 +61,20 @@
 	queue    Queue
 	inFlight []time.Time // their ends
 	reported int
-	others   map[*loadInstance]int // as they have reported
-	fullTill time.Time             // after a rejection
+	others   map[*loadInstance]loadReport
+	fullTill time.Time // after a rejection
+}
+
+// loadReport is what an instance has reported of its requests in flight.
+type loadReport struct {
+	at       time.Time
+	inFlight int
 }
 
 func newZoneLoad(policy policy, overload float64, seed uint64) *zoneLoad {
 	z := &zoneLoad{policy: policy, overload: overload, random: rand.New(rand.NewPCG(seed, 2)), routes: map[*Request]int{}, teamOf: map[*Request]deployment.Team{}}
 	for range loadInstances {
-		z.instances = append(z.instances, &loadInstance{others: map[*loadInstance]int{}})
+		z.instances = append(z.instances, &loadInstance{others: map[*loadInstance]loadReport{}})
 	}
 	return z
 }
@@ -94,15 +103,19 @@
 	arrivals := z.overload * loadSlots / meanAnswer.Seconds() * loadStep.Seconds() // a step
 	for at := time.Duration(0); at < loadLength; at += loadStep {
 		now := start.Add(at)
+		if z.endAt > 0 && at == z.endAt {
+			z.instances = z.instances[1:]
+		}
+		unreported := at >= z.unreportedFrom && at < z.unreportedUntil
 		for _, instance := range z.instances {
 			instance.inFlight = slices.DeleteFunc(instance.inFlight, now.After)
 		}
 		for range int(arrivals + z.random.Float64()) {
-			z.arrive(z.instances[z.random.IntN(loadInstances)], now, z.draw(now))
+			z.arrive(z.instances[z.random.IntN(len(z.instances))], now, z.draw(now))
 		}
 		for i, instance := range z.instances {
 			z.dispatch(instance, now)
-			if (at/loadStep+time.Duration(i*5))%(loadReports/loadStep) == 0 {
+			if (at/loadStep+time.Duration(i*5))%(loadReports/loadStep) == 0 && !unreported {
 				z.report(instance, i, now)
 			}
 		}
@@ -187,8 +200,10 @@
 		return 0
 	}
 	used := len(i.inFlight) + max(0, len(i.inFlight)-i.reported-1)*(loadInstances-1)
-	for _, inFlight := range i.others {
-		used += inFlight
+	for _, report := range i.others {
+		if now.Sub(report.at) <= reportMaxAge {
+			used += report.inFlight
+		}
 	}
 	return max(0, loadSlots-used)
 }
@@ -197,7 +212,7 @@
 	instance.reported = len(instance.inFlight)
 	for _, other := range z.instances {
 		if other != instance {
-			other.others[instance] = instance.reported
+			other.others[instance] = loadReport{at: now, inFlight: instance.reported}
 			other.queue.SetPeerDemand(now, deployment.InstanceID(fmt.Sprint(index)), instance.queue.Demand(now))
 		}
 	}
@@ -224,3 +239,24 @@
 		}
 	}
 }
+
+// TestOverloadWithFaults guards against capacity that is left to an instance that has ended, or whose
+// reports don't arrive, and against urgent requests that are late for it.
+func TestOverloadWithFaults(t *testing.T) {
+	for name, fault := range map[string]func(z *zoneLoad){
+		"an instance ends":       func(z *zoneLoad) { z.endAt = 10 * time.Second },
+		"no reports for 5 s":     func(z *zoneLoad) { z.unreportedFrom, z.unreportedUntil = 10*time.Second, 15*time.Second },
+		"no reports at any time": func(z *zoneLoad) { z.unreportedUntil = loadLength },
+	} {
+		z, baseline := newZoneLoad(byRank, 1.5, 1), newZoneLoad(firstCome, 1.5, 1)
+		for _, load := range []*zoneLoad{z, baseline} {
+			fault(load)
+			load.run()
+			t.Logf("%s, policy %d: ranks %.3f %.3f %.3f, work %.0f s", name, load.policy,
+				load.ranks[0].fraction(), load.ranks[1].fraction(), load.ranks[2].fraction(), load.work/1000)
+		}
+		assert.Assert(t, z.work >= 0.95*baseline.work, name)
+		assert.Assert(t, z.ranks[0].fraction() >= 0.95, name)
+		assert.Assert(t, z.ranks[0].fraction() > z.ranks[1].fraction() && z.ranks[1].fraction() > z.ranks[2].fraction(), name)
+	}
+}
