Scripts of the router write their logs on request

A script that fails now and then could not be traced: the logs of its routers were discarded. With MULBERRYHEAD_SCRIPT_LOGS set to a directory, each router's log is written there.

--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -444,7 +444,7 @@
 		RetryRatio:    sr.retryRatio, RetryWindow: 10 * time.Second, RetryReserve: sr.retryReserve,
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := newRouter(settings, Options{MetricsPort: freePort(sr.t), Output: io.Discard, WrapDial: sr.cluster.Links().For(settings.Instance)})
+	r := newRouter(settings, Options{MetricsPort: freePort(sr.t), Output: sr.logOutput(name), WrapDial: sr.cluster.Links().For(settings.Instance)})
 	started := &testRouter{settings: settings, stop: stop, done: make(chan error, 1)}
 	sr.routers[name] = started
 	go func() { started.done <- r.run(ctx) }()
