--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -186,6 +186,7 @@
 	status     int
 	retryAfter string
 	err        error // why the response is not the complete, correct one
+	events     int   // that have arrived, of a stream
 }
 
 func newScriptRunner(t *testing.T) *scriptRunner {
@@ -559,6 +560,7 @@
 	got.status = response.StatusCode
 	got.retryAfter = response.Header.Get(platform.HeaderRetryAfter)
 	data, err := io.ReadAll(response.Body)
+	got.events = bytes.Count(data, []byte("\n\n"))
 	got.err = checkResponse(route, body, response, data, err)
 	return got
 }
