An instance without processor time doesn't take its attempts to connect for late

The tracker counts 150 ms of each gap between two calls, so that an attempt that is 60 ms old is late after one gap of 0.2 to 1 s, and three probes fail within two. The package comment says that such an instance takes none of its attempts for late.

Change: a gap over 150 ms counts 50 ms. It is not 0, so that a cut is found also by an instance that is always late: TestCutIsFoundWithLittleProcessorTime. Gaps up to 150 ms, the rule with a poll each 100 ms, count as before.

--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -42,9 +42,12 @@
 	// lateAfter is the time from which on an attempt is in doubt.
 	lateAfter = 200 * time.Millisecond
 	// pollInterval is the interval at which the tracker wants to be asked while attempts
-	// are pending, and maxPollGap how much of the time between two calls counts.
-	pollInterval = 100 * time.Millisecond
-	maxPollGap   = 150 * time.Millisecond
+	// are pending. A time between two calls of more than maxPollGap counts as lateGapCredit
+	// only: the instance got no processor time, and neither did its attempts. It is not 0, so
+	// that a cut is found also where all calls come late.
+	pollInterval  = 100 * time.Millisecond
+	maxPollGap    = 150 * time.Millisecond
+	lateGapCredit = 50 * time.Millisecond
 	// pauseGap is the time between two calls from which on this instance stood still.
 	pauseGap = time.Second
 	// attemptLifetime is how long an attempt of which nothing is heard is kept.
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -46,7 +46,7 @@
 	attempts []*attempt // by ID
 	lastID   AttemptID
 	calledAt time.Time
-	// clock is the time that has passed without the gaps in which this instance stood still.
+	// clock is the time that has passed, less the gaps in which this instance stood still.
 	clock time.Duration
 
 	verdict     Verdict
@@ -200,7 +200,11 @@
 		return // callers may be late with their time
 	}
 	t.calledAt = now
-	t.clock += min(max(gap, 0), maxPollGap)
+	if gap <= maxPollGap {
+		t.clock += max(gap, 0)
+	} else {
+		t.clock += lateGapCredit
+	}
 	if gap >= pauseGap {
 		t.startAnew()
 	}
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -86,3 +86,41 @@
 	assert.Assert(t, probes <= 2+2*proofServers, "%d probes", probes)
 	assert.Equal(t, tracker.Verdict(start.Add(2*cutOffInterval)), CutOff)
 }
+
+// TestStandstillIsNoLateness guards against an instance that takes itself for cut off since it got
+// no processor time for some hundred milliseconds: the attempts that were pending say nothing.
+func TestStandstillIsNoLateness(t *testing.T) {
+	for _, still := range []time.Duration{maxPollGap + time.Millisecond, 400 * time.Millisecond, pauseGap - time.Millisecond} {
+		tracker := NewTracker()
+		tracker.SetServers(start, serversIn(3, 4))
+		var pending []AttemptID
+		for _, server := range serversIn(3, 4) {
+			pending = append(pending, tracker.Begin(start, server.Address))
+		}
+		tracker.Verdict(start.Add(lateAfter / 2))
+		now := start.Add(lateAfter/2 + still)
+		assert.Equal(t, tracker.Verdict(now), Sound, "after %s", still)
+		for _, id := range pending {
+			tracker.Failed(now, id, Hung) // its time limit passed meanwhile
+		}
+		assert.Equal(t, tracker.Verdict(now), Sound, "after %s", still)
+	}
+}
+
+// TestCutIsFoundWithLittleProcessorTime guards against an instance that never finds out that it is
+// cut off, as it is always late to ask.
+func TestCutIsFoundWithLittleProcessorTime(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetServers(start, serversIn(3, 4))
+	for _, server := range serversIn(3, 4) {
+		tracker.Begin(start, server.Address) // hangs
+	}
+	now := start
+	for range 30 {
+		now = now.Add(2 * maxPollGap)
+		for _, address := range tracker.Probes(now) {
+			tracker.Begin(now, address)
+		}
+	}
+	assert.Equal(t, tracker.Verdict(now), CutOff)
+}
