--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -164,6 +164,9 @@
 	Accelerators        map[string]Accelerator
 	TypicalPromptTokens float64
 	TypicalOutputTokens float64
+	// PrefillRate is the number of prompt tokens a second through all layers, with a
+	// ReadFactor of 1. It is 0 if not known.
+	PrefillRate float64
 	// TargetEventGap is the shortest TargetEventGap of the routes to the service, 0 if none
 	// has one.
 	TargetEventGap time.Duration
@@ -185,7 +188,7 @@
 type Accelerator struct {
 	Memory     Megabytes
 	StepFactor float64 // multiplies the time of a step
-	ReadFactor float64 // read-factor of the configuration; not used
+	ReadFactor float64 // multiplies the time of a prompt's tokens
 }
 
 // LayerRange is the range of layers from First up to, but not including, End.
--- a/internal/gateway/errorresponse.go
+++ b/internal/gateway/errorresponse.go
@@ -66,6 +66,9 @@
 	if c.size.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt-tokens", c.size.PromptTokens), zap.Int("max-output-tokens", c.size.MaxOutputTokens))
 	}
+	if c.hasSize() && c.expected.Work > 0 {
+		fields = append(fields, zap.Float64("expected-output-tokens", c.expected.Output), zap.Float64("expected-work-ms", float64(c.expected.Work)))
+	}
 	if c.relayed != nil {
 		fields = append(fields, zap.String("relayed-from", string(c.relayed.instance)))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/relay"
+	"mulberryhead.org/mulberryhead/internal/requestsize"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/platform"
@@ -84,6 +85,7 @@
 type serviceState struct {
 	budget *retrybudget.WindowBudget
 	queue  *queue
+	sizes  *requestSizes
 }
 
 // New returns a Gateway. MonitorStreams must run beside it to detect stalled streams.
@@ -120,7 +122,7 @@
 	defer g.mu.Unlock()
 	state, ok := g.services[name]
 	if !ok {
-		state = &serviceState{budget: retrybudget.NewWindowBudget(g.started, g.retryBounds, g.instances), queue: newQueue(newQueueObserver(&g.Config, name))}
+		state = &serviceState{budget: retrybudget.NewWindowBudget(g.started, g.retryBounds, g.instances), queue: newQueue(newQueueObserver(&g.Config, name)), sizes: newRequestSizes()}
 		g.services[name] = state
 	}
 	return state
@@ -167,6 +169,7 @@
 	events   atomic.Int64                // that have arrived in all attempts
 	stall    atomic.Pointer[stallRecord] // nil unless the stream waits for a lost stage
 	size     deployment.RequestSize
+	expected requestsize.Estimate // of a stream
 	// priorityHeader is sent to the backend servers, empty if they need none.
 	priorityHeader string
 	parts          []deployment.PromptPartID // of the prompt, in order
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	backendEnds *prometheus.CounterVec
 	heldKeys    prometheus.Gauge
 	admission   *admissionMetrics
+	estimates   prometheus.Histogram
 }
 
 // NewMetrics returns Metrics registered with registry.
@@ -43,7 +44,11 @@
 	m.heldKeys = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "mulberryhead_held_keys", Help: "Parts of prompts, and whole requests, that are not sent because backend servers ended on them.",
 	})
-	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.cuts, m.backendEnds, m.heldKeys)
+	m.estimates = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mulberryhead_output_estimate_ratio", Help: "Tokens of the output of whole streams with a stated size, divided by those expected.",
+		Buckets: prometheus.ExponentialBuckets(0.0625, 2, 9),
+	})
+	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.cuts, m.backendEnds, m.heldKeys, m.estimates)
 	m.admission = newAdmissionMetrics(registry)
 	return m
 }
@@ -95,3 +100,10 @@
 }
 
 func (m *Metrics) setHeldKeys(count int) { m.heldKeys.Set(float64(count)) }
+
+// observeEstimate observes how far the expected output of a stream was off.
+func (m *Metrics) observeEstimate(expected float64, output int) {
+	if expected > 0 {
+		m.estimates.Observe(float64(output) / expected)
+	}
+}
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -51,7 +51,7 @@
 func (p *pathRequest) admissionRequest() *admission.Request {
 	return &admission.Request{
 		Resumed: p.resumed, HasPath: p.needed != nil, Rank: p.call.decision.Rank, Team: p.call.decision.Team, Arrived: p.call.started,
-		TargetLatency: p.call.decision.Route.TargetLatency, Deadline: p.deadline(),
+		TargetLatency: p.call.decision.Route.TargetLatency, Deadline: p.deadline(), Work: p.call.expectedWork(),
 	}
 }
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -177,6 +177,13 @@
 		e.Capacity.Free, e.Elsewhere, e.OldestAge.Round(time.Millisecond), e.Arriving)
 }
 
+// recordUse records the work that an admitted request has used, in milliseconds.
+func (q *queue) recordUse(request *admission.Request, work float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.admission.RecordUse(request, work)
+}
+
 // abandon removes a waiter whose context has ended and releases a reservation that was
 // made in the meantime.
 func (q *queue) abandon(w *waiter) {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -78,7 +78,7 @@
 		request: backend.Request{
 			Method: request.Method, URI: request.URI, Host: request.Host, ID: request.ID, Header: request.Header, Body: request.Body,
 		},
-		parts: platform.ParsePromptParts(request.Header),
+		parts: platform.ParsePromptParts(request.Header), size: platform.ParseRequestSize(request.Header),
 		relayed: &relayedFrom{
 			instance: request.From, ran: request.Ran, resumed: isResumed(request),
 		},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
 	"mulberryhead.org/mulberryhead/platform"
@@ -57,6 +58,10 @@
 	ran            map[deployment.BackendID]bool // first stages that ran the request or may have run it
 	lastEventID    int64                         // last event that was written to the client, or that its request named
 	hasLastEventID bool
+	// clientEventID is the event that the client's request named, if clientNamedEvent is set.
+	clientEventID    int64
+	clientNamedEvent bool
+	admitted         *admission.Request // the last one that got a path from the queue, nil without one
 	// headerWritten is set once the response header was passed to the ResponseWriter,
 	// perhaps not flushed yet. From then on no error response is possible.
 	headerWritten    bool
@@ -89,13 +94,16 @@
 	}
 	if id, err := strconv.ParseInt(c.request.Header.Get(platform.HeaderLastEventID), 10, 64); err == nil {
 		s.lastEventID, s.hasLastEventID = id, true
+		s.clientEventID, s.clientNamedEvent = id, true
 	}
 	if c.relayed != nil {
 		for _, id := range c.relayed.ran {
 			s.ran[id] = true
 		}
 	}
+	g.estimateSize(c.started, c)
 	outcome, cause := s.run(ctx)
+	s.recordSize(time.Now(), outcome)
 	s.finish(ctx, outcome, cause)
 }
 
