--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -29,6 +29,7 @@
 	waitUntil      time.Time                           // it has said that it wants no requests before
 	suspectSince   time.Time                           // zero if it is not suspected
 	suspectUntil   time.Time                           // the suspicion does not end before
+	endedAt        time.Time                           // when this instance found that it has ended, zero if it is suspected for another cause
 	answeredAt     time.Time                           // when it last answered a probe
 	suspicions     map[deployment.InstanceID]time.Time // of other instances
 	link           link
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -88,12 +88,16 @@
 	}
 }
 
-// RecordConnected records that this instance has connected to a server, which also ends the
-// suspicion of its own link.
-func (f *Fleet) RecordConnected(now time.Time, address deployment.Address) {
+// RecordConnected records that this instance has connected to a server, by an attempt that was begun
+// at a time. That also ends the suspicion of its own link, and shows that the process has not ended
+// before.
+func (f *Fleet) RecordConnected(now, begun time.Time, address deployment.Address) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.byAddress(address); s != nil {
+		if begun.After(s.endedAt) {
+			s.clearEnd()
+		}
 		s.link.contactAt = now
 		clear(s.link.failures)
 		s.link.clear()
@@ -102,12 +106,17 @@
 }
 
 // ClearLinkSuspects ends the suspicions of the links to the servers of a service, as this
-// instance had lost them all and has them again.
+// instance had lost them all and has them again. What it took for ends of servers may have been
+// the loss of the first links.
 func (f *Fleet) ClearLinkSuspects(service deployment.ServiceName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
-		if s.Service == service && !s.link.told {
+		if s.Service != service {
+			continue
+		}
+		s.clearEnd()
+		if !s.link.told {
 			s.link.clear()
 			s.link.avoidUntil = time.Time{}
 		}
--- a/internal/backend/links.go
+++ b/internal/backend/links.go
@@ -101,7 +101,7 @@
 	settled := err == nil && links.verdict == reachability.Sound
 	l.mu.Unlock()
 	if err == nil {
-		l.config.Fleet.RecordConnected(now, address)
+		l.config.Fleet.RecordConnected(now, begun, address)
 	}
 	if !settled {
 		l.Step(now)
--- a/internal/backend/observation_test.go
+++ b/internal/backend/observation_test.go
@@ -72,3 +72,31 @@
 	f.RecordPeerEnd(start, "p2", incarnation)
 	assert.Equal(t, len(f.Stages(start, service)), 0)
 }
+
+// TestEndFoundOnFailingLinks guards against layers that are loaded elsewhere for a server that has
+// not ended: while the links of an instance fail one after the other, a connection to one server
+// is refused, and a later one to another server still succeeds.
+func TestEndFoundOnFailingLinks(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	f.MarkEnded(start, poison.IncarnationOf(f.servers["i-1"].Backend))
+	assert.Equal(t, f.ServerStatuses(start.Add(time.Second), "svc", "a")[0].UnavailableFor, time.Second)
+	f.ClearLinkSuspects("svc") // the instance was cut off meanwhile
+	assert.Equal(t, f.ServerStatuses(start.Add(time.Second), "svc", "a")[0].UnavailableFor, time.Duration(0))
+	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 1)
+}
+
+// TestConnectionEndsAnEnd guards against a server that stays out of paths after a connection to
+// it has succeeded, and against a suspicion of another cause that ends with it.
+func TestConnectionEndsAnEnd(t *testing.T) {
+	f := fleetOf(entry("i-1", 0, 80))
+	address := f.servers["i-1"].Address
+	f.MarkEnded(start, poison.IncarnationOf(f.servers["i-1"].Backend))
+	f.RecordConnected(start.Add(time.Second), start.Add(-time.Millisecond), address)
+	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 0, "the connection was begun before the end")
+	f.RecordConnected(start.Add(time.Second), start.Add(time.Millisecond), address)
+	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 1)
+	f.MarkSuspect(start, address)
+	f.MarkEnded(start, poison.IncarnationOf(f.servers["i-1"].Backend))
+	f.RecordConnected(start.Add(time.Second), start.Add(time.Millisecond), address)
+	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 0, "it does not respond")
+}
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -48,15 +48,28 @@
 		s.suspectSince = now
 	}
 	s.suspectUntil = later(s.suspectUntil, now.Add(suspectTimeout))
+	s.endedAt = time.Time{}
 	return fresh
 }
 
-// MarkEnded keeps a stage whose process has ended out of every place of new paths.
+// clearEnd ends a suspicion that stems only from the end that this instance has found.
+func (s *server) clearEnd() {
+	if !s.endedAt.IsZero() {
+		s.clearSuspicion()
+	}
+}
+
+// MarkEnded keeps a stage whose process has ended out of every place of new paths, as this
+// instance has found.
 func (f *Fleet) MarkEnded(now time.Time, incarnation poison.Incarnation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.running(incarnation); s != nil {
+		onlyEnded := s.suspectSince.IsZero() || !s.endedAt.IsZero()
 		s.markSuspect(now)
+		if onlyEnded {
+			s.endedAt = now
+		}
 	}
 }
 
@@ -102,6 +115,7 @@
 func (s *server) clearSuspicion() {
 	s.suspectSince = time.Time{}
 	s.suspectUntil = time.Time{}
+	s.endedAt = time.Time{}
 }
 
 // MarkWrongLayers keeps a stage that does not hold the expected layers out of new paths
