--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	linkCheckTimeout     = 600 * time.Millisecond
 	minLinkCheckInterval = time.Millisecond
 	linkCheckInterval    = 20 * time.Millisecond
+	// othersCheckInterval is the minimum time between two checks of a stage since another one of
+	// its path has ended: each stream that broke off asks for one.
+	othersCheckInterval = 300 * time.Millisecond
 )
 
 // suspectedEnd is a backend server that may have ended.
@@ -32,6 +36,31 @@
 	// at is when its connection broke off, zero for a stage further down the path: streams
 	// wait for a while for one that has ended.
 	at time.Time
+	// others are the other stages of its path, which may have ended at the same moment.
+	others []deployment.Backend
+}
+
+// otherStages returns the servers of a path but one.
+func otherStages(path []deployment.Backend, server deployment.Backend) []deployment.Backend {
+	return slices.DeleteFunc(slices.Clone(path), func(other deployment.Backend) bool { return other.ID == server.ID })
+}
+
+// checkOthers checks the other stages of the path of a backend server that has ended. Servers
+// that are lost together are then known at once: otherwise each is found only when streams wait
+// for it, as the end of another moment for which those streams are blamed. The checks of a stage
+// are at least othersCheckInterval apart.
+func (e *endWatch) checkOthers(now time.Time, suspect suspectedEnd) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.othersCheckedAt, func(_ poison.Incarnation, at time.Time) bool { return now.Sub(at) >= othersCheckInterval })
+	for _, other := range suspect.others {
+		incarnation := poison.IncarnationOf(other)
+		if _, checked := e.othersCheckedAt[incarnation]; checked || e.tracker.Ended(incarnation) {
+			continue
+		}
+		e.othersCheckedAt[incarnation] = now
+		go e.checkEnd(context.Background(), suspectedEnd{server: other})
+	}
 }
 
 // checkEnds checks side by side which of the suspected backend servers have ended, and waits for the
@@ -57,6 +86,7 @@
 	if e.tracker.Ended(incarnation) {
 		e.mu.Unlock()
 		e.recordEnd(time.Now(), suspect) // the attempt that asks may be blamed too
+		e.checkOthers(time.Now(), suspect)
 		return true
 	}
 	done, underWay := e.checks[incarnation]
@@ -74,8 +104,12 @@
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.tracker.Ended(incarnation)
+	ended := e.tracker.Ended(incarnation)
+	e.mu.Unlock()
+	if ended {
+		e.checkOthers(time.Now(), suspect)
+	}
+	return ended
 }
 
 // runCheck connects to a backend server. Where the connection is refused, the process has
--- a/internal/gateway/endwatch.go
+++ b/internal/gateway/endwatch.go
@@ -42,6 +42,8 @@
 	checks map[poison.Incarnation]chan struct{}
 	// brokeOff are the servers under check whose connections broke off in the middle of a stream.
 	brokeOff map[deployment.BackendID]bool
+	// othersCheckedAt is when a stage was last checked since another one of its path had ended.
+	othersCheckedAt map[poison.Incarnation]time.Time
 	// lastSeen is when a backend server last was on the path of an event, as far as the
 	// attempts have ended.
 	lastSeen  map[poison.Incarnation]time.Time
@@ -53,7 +55,7 @@
 	return &endWatch{
 		config: config, transport: transport, tracker: poison.NewTracker(trialJitter(config.Settings.Instance)),
 		attempts: map[*watchedAttempt]bool{}, checks: map[poison.Incarnation]chan struct{}{},
-		lastSeen: map[poison.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
+		lastSeen: map[poison.Incarnation]time.Time{}, othersCheckedAt: map[poison.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
 		onPeerEnd: func(time.Time, deployment.BackendID) {},
 	}
 }
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -89,3 +90,38 @@
 	assert.Equal(t, response.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, response.Header().Get(platform.HeaderRetryAfter), platform.FormatRetryAfter(heldBackRetryAfter))
 }
+
+// TestServersOfAPathThatEndTogether guards against servers that are lost together and found one by
+// one, each time with other requests to blame: the part that these share is then held.
+func TestServersOfAPathThatEndTogether(t *testing.T) {
+	refusing := func() deployment.Address {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, listener.Close()) }()
+		return deployment.Address(listener.Addr().String())
+	}
+	fleet := backend.NewFleet("a")
+	path := []deployment.Backend{
+		{ID: "first", Service: "svc", Address: refusing(), Zone: "a"},
+		{ID: "second", Service: "svc", Address: refusing(), Zone: "a"},
+		{ID: "sound", Service: "svc", Address: silentStage(t, 0), Zone: "a"},
+	}
+	fleet.Replace(time.Now(), path)
+	ends := testGateway(fleet).ends
+	ended := func(server deployment.Backend) bool {
+		ends.mu.Lock()
+		defer ends.mu.Unlock()
+		return ends.tracker.Ended(poison.IncarnationOf(server))
+	}
+	checking := func() bool {
+		ends.mu.Lock()
+		defer ends.mu.Unlock()
+		return len(ends.checks) > 0 || len(ends.othersCheckedAt) < 2
+	}
+	assert.Assert(t, ends.checkEnds(context.Background(), []suspectedEnd{{server: path[0], at: time.Now(), others: otherStages(path, path[0])}}))
+	for limit := time.Now().Add(30 * time.Second); time.Now().Before(limit) && (checking() || !ended(path[1])); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, ended(path[1]), "the second one refuses connections too")
+	assert.Assert(t, !ended(path[2]))
+}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -118,12 +118,13 @@
 	path := monitored.path()
 	unresponsive := s.gateway.Fleet.SuspectsOn(now, path)
 	var suspected []suspectedEnd
-	for i, server := range monitored.watched().servers {
+	servers := monitored.watched().servers
+	for i, server := range servers {
 		switch {
 		case i == 0 && !errors.Is(err, errNotExecuted):
-			suspected = append(suspected, suspectedEnd{server: server, at: now})
+			suspected = append(suspected, suspectedEnd{server: server, at: now, others: otherStages(servers, server)})
 		case slices.Contains(unresponsive, server.Address):
-			suspected = append(suspected, suspectedEnd{server: server})
+			suspected = append(suspected, suspectedEnd{server: server, others: otherStages(servers, server)})
 		}
 	}
 	return suspected
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -230,9 +230,10 @@
 func (m *streamMonitor) mayReroute(ctx context.Context, stream *monitoredStream) bool {
 	suspects := m.config.Fleet.SuspectsOn(time.Now(), stream.path())
 	var suspected []suspectedEnd
-	for _, server := range stream.watched().servers {
+	servers := stream.watched().servers
+	for _, server := range servers {
 		if slices.Contains(suspects, server.Address) {
-			suspected = append(suspected, suspectedEnd{server: server})
+			suspected = append(suspected, suspectedEnd{server: server, others: otherStages(servers, server)})
 		}
 	}
 	if stream.begun || stream.hasEvents.Load() {
