--- a/internal/gateway/requestsize_test.go
+++ b/internal/gateway/requestsize_test.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"mulberryhead.org/mulberryhead/internal/admission"
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/routing"
@@ -83,3 +84,24 @@
 	tokens := g.service("m").sizes.estimator.Estimate(time.Now(), "r", send("").service.Engine, g.service("m").sizes.rates, deployment.RequestSize{PromptTokens: 1})
 	assert.Equal(t, tokens.Output, 10.0)
 }
+
+// TestTeamIsChargedForItsUse guards against a team that is charged for the work of its streams as
+// it was expected, though they have used more.
+func TestTeamIsChargedForItsUse(t *testing.T) {
+	g, send := sizedGateway(t)
+	c, now := send(""), time.Now()
+	q := &g.queue("m").admission
+	push := func(team deployment.Team, work float64) *admission.Request {
+		r := &admission.Request{Team: team, Arrived: now, Deadline: now.Add(time.Hour), Work: work}
+		q.Push(now, r)
+		return r
+	}
+	small, other := push("t", 1), push("u", 10)
+	next, otherNext := push("t", 1), push("u", 1)
+	q.Admit(now, small)
+	q.Admit(now, other)
+	assert.Equal(t, q.Ordered(now)[0], next)
+	s := &stream{gateway: g, call: c, admitted: small, lastEventID: streamEvents, hasLastEventID: true}
+	s.recordSize(now, streamComplete)
+	assert.Equal(t, q.Ordered(now)[0], otherNext)
+}
