--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// earlyRise is by how many own requests on a stage the load must have risen since the last
+// snapshot to be told before the regular time.
+const earlyRise = 2
+
+// LoadsRoseMuch reports whether the requests of this instance on a stage have risen by earlyRise or
+// more since SnapshotLoads.
+func (f *Fleet) LoadsRoseMuch() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.servers {
+		if s.Accelerator != "" && s.inFlight >= f.load.reported[id]+earlyRise {
+			return true
+		}
+	}
+	return false
+}
+
 // othersOn estimates the requests of the other instances on a stage, where this instance
 // has own requests. Instances of this zone without a recent report are assumed to have the
 // mean load of those with one. Each other instance of the zone is assumed to have added as
--- a/internal/backend/load_test.go
+++ b/internal/backend/load_test.go
@@ -42,6 +42,26 @@
 	assert.Assert(t, total["c"] >= instances*rerouted/4, "%v", total)
 }
 
+// TestLoadThatRoseIsReportedEarly guards against instances that all choose one stage within the regular
+// interval of reports, and against early reports of a load that falls or rises by one.
+func TestLoadThatRoseIsReportedEarly(t *testing.T) {
+	f := fleetOf(entry("s", 0, 80))
+	begin := func() *InFlightRequest {
+		request, ok := f.Begin(start, pipeline.Path{IDs: []deployment.BackendID{"s"}})
+		assert.Assert(t, ok)
+		return request
+	}
+	begin()
+	assert.Assert(t, !f.LoadsRoseMuch())
+	second := begin()
+	assert.Assert(t, f.LoadsRoseMuch())
+	f.SnapshotLoads()
+	assert.Assert(t, !f.LoadsRoseMuch(), "told")
+	second.Done(start, Succeeded)
+	begin()
+	assert.Assert(t, !f.LoadsRoseMuch(), "one ended and one began")
+}
+
 func TestOthersOnStage(t *testing.T) {
 	l := newSharedLoad()
 	l.instances, l.instancesInZone = 9, 5
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,18 +72,20 @@
 	mu          sync.Mutex
 	services    map[deployment.ServiceName]*serviceState
 	retryBounds retrybudget.Bounds
-	// instances is the number of instances, this one included, that share the retry budgets.
-	instances   int
-	peerRetries map[deployment.InstanceID]peerRetries
-	started     time.Time
+	// instances is the number of instances, this one included, that share the retry budgets, and
+	// inZone that of those in this zone.
+	instances int
+	inZone    int
+	started   time.Time
 	// invalidDemandLoggedAt bounds the log lines on invalid reports.
 	invalidDemandLoggedAt time.Time
 }
 
 // serviceState is the state shared by all requests for a service.
 type serviceState struct {
-	budget *retrybudget.WindowBudget
-	queue  *queue
+	budget   *retrybudget.WindowBudget
+	exchange *retrybudget.Exchange
+	queue    *queue
 }
 
 // New returns a Gateway. MonitorStreams must run beside it to detect stalled streams.
@@ -99,7 +101,7 @@
 		services:    map[deployment.ServiceName]*serviceState{},
 		retryBounds: retryBounds(config.Settings),
 		instances:   initialInstanceCount,
-		peerRetries: map[deployment.InstanceID]peerRetries{},
+		inZone:      1,
 		started:     time.Now(),
 	}
 	g.monitor.successor = g.successor
@@ -108,7 +110,7 @@
 }
 
 // initialInstanceCount is the maximum expected number of instances. It is assumed for
-// the shared retry budgets until SetInstanceCount is called.
+// the shared retry budgets until SetInstanceCounts is called.
 const initialInstanceCount = 12
 
 func retryBounds(settings deployment.Settings) retrybudget.Bounds {
@@ -121,6 +123,8 @@
 	state, ok := g.services[name]
 	if !ok {
 		state = &serviceState{budget: retrybudget.NewWindowBudget(g.started, g.retryBounds, g.instances), queue: newQueue(newQueueObserver(&g.Config, name))}
+		state.exchange = retrybudget.NewExchange(state.budget, g.Settings.Instance, g.Settings.Zone)
+		state.exchange.SetCounts(g.instances, g.inZone)
 		g.services[name] = state
 	}
 	return state
@@ -132,14 +136,15 @@
 
 func (g *Gateway) queue(name deployment.ServiceName) *queue { return g.service(name).queue }
 
-// SetInstanceCount sets the number of instances, this one included, that share the
-// retry budgets.
-func (g *Gateway) SetInstanceCount(count int) {
+// SetInstanceCounts sets the number of instances that share the retry budgets, and that of those
+// in this zone, both with this one.
+func (g *Gateway) SetInstanceCounts(count, inZone int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.instances = count
+	g.instances, g.inZone = count, inZone
 	for _, state := range g.services {
 		state.budget.SetInstanceCount(count)
+		state.exchange.SetCounts(count, inZone)
 	}
 }
 
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -7,50 +7,98 @@
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 )
 
-// peerRetriesMaxAge is how long another instance's part of a retry budget may be borrowed
-// from after its report.
-const peerRetriesMaxAge = 1500 * time.Millisecond
+// RetryReports is what an instance tells its zone of its retry budgets, by service.
+type RetryReports map[deployment.ServiceName]retrybudget.Report
 
-// peerRetries is what another instance has reported of its parts of the retry budgets.
-type peerRetries struct {
-	spent map[deployment.ServiceName]retrybudget.Spending
-	at    time.Time
+// ZoneRetryReports is what a zone tells another one of its retry budgets, by service.
+type ZoneRetryReports map[deployment.ServiceName]retrybudget.ZoneReport
+
+// RetryReports returns what this instance has to tell its zone of its retry budgets.
+func (g *Gateway) RetryReports(now time.Time) RetryReports {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reports := RetryReports{}
+	for name, state := range g.services {
+		reports[name] = state.exchange.Report(now)
+	}
+	return reports
 }
 
-// RetriesSpent returns this instance's part of the retry budget of each service, to be sent
-// to the other instances of the zone.
-func (g *Gateway) RetriesSpent(now time.Time) map[deployment.ServiceName]retrybudget.Spending {
+// RetryReportsDue reports whether a retry budget has changed so much since RetryReports that the
+// zone should be told early.
+func (g *Gateway) RetryReportsDue(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	spent := map[deployment.ServiceName]retrybudget.Spending{}
+	for _, state := range g.services {
+		if state.exchange.ReportDue(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ZoneRetryReports returns what this instance, as a bridge, has to tell another zone.
+func (g *Gateway) ZoneRetryReports(now time.Time, to deployment.Zone) ZoneRetryReports {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reports := ZoneRetryReports{}
 	for name, state := range g.services {
-		spent[name] = state.budget.Report(now)
+		reports[name] = state.exchange.ZoneReport(now, to)
 	}
-	return spent
+	return reports
 }
 
-// SetPeerRetries stores what another instance of the zone has reported with RetriesSpent.
-func (g *Gateway) SetPeerRetries(now time.Time, instance deployment.InstanceID, spent map[deployment.ServiceName]retrybudget.Spending) {
+// ZoneRetryReportsDue does for ZoneRetryReports what RetryReportsDue does for RetryReports.
+func (g *Gateway) ZoneRetryReportsDue(now time.Time, to deployment.Zone) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peerRetries[instance] = peerRetries{spent: spent, at: now}
+	for _, state := range g.services {
+		if state.exchange.ZoneReportDue(now, to) {
+			return true
+		}
+	}
+	return false
 }
 
-// ShareRetries lets each budget borrow from the parts that other instances have reported.
-func (g *Gateway) ShareRetries(now time.Time) {
+// ChangedSince reports whether a zone's reports differ so much from earlier ones that they should
+// be passed on early.
+func (r ZoneRetryReports) ChangedSince(told ZoneRetryReports) bool {
+	for name, report := range r {
+		if report.ChangedSince(told[name]) {
+			return true
+		}
+	}
+	return false
+}
+
+// SetPeerRetries stores what another instance of the zone has reported with RetryReports.
+func (g *Gateway) SetPeerRetries(now time.Time, instance deployment.InstanceID, reports RetryReports) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id, peer := range g.peerRetries {
-		if now.Sub(peer.at) > peerRetriesMaxAge {
-			delete(g.peerRetries, id)
+	for name, state := range g.services {
+		if report, ok := reports[name]; ok {
+			state.exchange.SetPeer(now, instance, report)
 		}
 	}
+}
+
+// SetZoneRetries stores what another zone has reported with ZoneRetryReports.
+func (g *Gateway) SetZoneRetries(now time.Time, zone deployment.Zone, reports ZoneRetryReports) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for name, state := range g.services {
-		var others retrybudget.Spending
-		for _, peer := range g.peerRetries {
-			others.Allowed += peer.spent[name].Allowed
-			others.Spent += peer.spent[name].Spent
+		if report, ok := reports[name]; ok {
+			state.exchange.SetZone(now, zone, report)
 		}
-		state.budget.SetOthers(others, len(g.peerRetries))
+	}
+}
+
+// ShareRetries applies the reports of the others to the retry budgets. It must be called several
+// times a second.
+func (g *Gateway) ShareRetries(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.services {
+		state.exchange.Update(now)
 	}
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -12,7 +12,6 @@
 	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/logservice"
 	"mulberryhead.org/mulberryhead/internal/logservice/document"
-	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 	"mulberryhead.org/mulberryhead/platform"
@@ -83,11 +82,11 @@
 		wire.LayersOrdered = layersToWire(m.Backend, m.Layers)
 		wire.LayersOrdered.Refused = m.Refused
 	case StageLoads:
-		wire.StageLoads = &wireStageLoads{Loads: loadsToWire(m.Loads), Retries: retriesToWire(m.Retries), Limits: limitsToWire(m.Limits), CutOff: m.CutOff, Demand: priorityDemandToWire(m.Demand)}
+		wire.StageLoads = stageLoadsToWire(m)
 	case LinksState:
 		wire.LinksCutOff = &m.CutOff
 	case ZoneLoads:
-		wire.ZoneLoads = &wireZoneLoads{Zone: string(m.Zone), Loads: loadsToWire(m.Loads), Limits: limitsToWire(m.Limits)}
+		wire.ZoneLoads = zoneLoadsToWire(m)
 	case StageObserved:
 		wire.StageObserved = &wireStageObserved{Backend: string(m.Backend), What: int(m.What)}
 	case PoisonEvidence:
@@ -156,8 +155,7 @@
 		id, layers := wire.LayersOrdered.layers()
 		return LayersOrdered{Backend: id, Layers: layers, Refused: wire.LayersOrdered.Refused}, nil
 	case wire.StageLoads != nil:
-		loads := wire.StageLoads
-		return StageLoads{Loads: loadsFromWire(loads.Loads), Retries: retriesFromWire(loads.Retries), Limits: limitsFromWire(loads.Limits), CutOff: loads.CutOff, Demand: priorityDemandFromWire(loads.Demand)}, nil
+		return stageLoadsFromWire(wire.StageLoads), nil
 	case wire.LinksCutOff != nil:
 		return LinksState{CutOff: *wire.LinksCutOff}, nil
 	case wire.StageObserved != nil:
@@ -165,7 +163,7 @@
 	case wire.PoisonEvidence != nil:
 		return PoisonEvidence{Evidence: poisonEvidenceFromWire(wire.PoisonEvidence)}, nil
 	case wire.ZoneLoads != nil:
-		return ZoneLoads{Zone: deployment.Zone(wire.ZoneLoads.Zone), Loads: loadsFromWire(wire.ZoneLoads.Loads), Limits: limitsFromWire(wire.ZoneLoads.Limits)}, nil
+		return zoneLoadsFromWire(wire.ZoneLoads), nil
 	case wire.Slowdown != nil:
 		return Slowdown{Backend: deployment.BackendID(wire.Slowdown.Backend), Factor: wire.Slowdown.Factor}, nil
 	case wire.ForwardRequest != nil:
@@ -184,38 +182,6 @@
 	return nil, nil
 }
 
-func loadsToWire(loads map[deployment.BackendID]int) map[string]int {
-	wire := make(map[string]int, len(loads))
-	for id, count := range loads {
-		wire[string(id)] = count
-	}
-	return wire
-}
-
-func loadsFromWire(wire map[string]int) map[deployment.BackendID]int {
-	loads := make(map[deployment.BackendID]int, len(wire))
-	for id, count := range wire {
-		loads[deployment.BackendID(id)] = count
-	}
-	return loads
-}
-
-func retriesToWire(retries map[deployment.ServiceName]retrybudget.Spending) map[string]wireSpending {
-	wire := make(map[string]wireSpending, len(retries))
-	for service, spending := range retries {
-		wire[string(service)] = wireSpending{Allowed: spending.Allowed, Spent: spending.Spent}
-	}
-	return wire
-}
-
-func retriesFromWire(wire map[string]wireSpending) map[deployment.ServiceName]retrybudget.Spending {
-	retries := make(map[deployment.ServiceName]retrybudget.Spending, len(wire))
-	for service, spending := range wire {
-		retries[deployment.ServiceName(service)] = retrybudget.Spending{Allowed: spending.Allowed, Spent: spending.Spent}
-	}
-	return retries
-}
-
 func layersToWire(id deployment.BackendID, layers deployment.LayerRange) *wireLayers {
 	return &wireLayers{Backend: string(id), First: layers.First, End: layers.End}
 }
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -34,6 +34,8 @@
 		}},
 		ForwardRequest{ID: 7, Key: "k"}, ForwardResponse{ID: 7, Status: 200},
 		StageLoads{Loads: map[deployment.BackendID]int{"b": 3}}, ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{"b": 3}},
+		StageLoads{Loans: map[deployment.ServiceName]map[retrybudget.Borrower]float64{"s": {{Zone: "z"}: 2}}},
+		ZoneLoads{Zone: "z", Lenders: 3, Loans: map[deployment.ServiceName]float64{"s": 2.5}},
 		StageObserved{Backend: "b", What: backend.StageSuspected},
 		LinksState{CutOff: true}, LinksState{}, StageLoads{CutOff: true},
 		StageLoads{Demand: map[deployment.ServiceName][]admission.PriorityDemand{"s": {{Rank: routing.Rank{Priority: 1, Route: 2}, Waiting: 3, Work: 4, ArrivalsPerSecond: 5}}}},
@@ -66,6 +68,15 @@
 		ZoneLoads{Zone: "z", Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{"b": {
 			Sent: 4, Statement: serverlimit.Statement{PerSecond: 2.5, NamedAge: time.Second, Answered: true, LiftedAge: time.Minute},
 		}}},
+		StageLoads{
+			Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{},
+			Loans: map[deployment.ServiceName]map[retrybudget.Borrower]float64{"s": {{Instance: "i"}: 0.5, {Zone: "z"}: 2}},
+		},
+		ZoneLoads{
+			Zone: "z", Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{}, Lenders: 3,
+			Retries: map[deployment.ServiceName]retrybudget.Spending{"s": {Allowed: 12, Spent: 7}},
+			Loans:   map[deployment.ServiceName]float64{"s": 2.5},
+		},
 		StageObserved{Backend: "b", What: backend.StageAccepted},
 		PoisonEvidence{Evidence: poison.Evidence{
 			Ends: []poison.End{{
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -190,6 +190,8 @@
 	Limits  backend.LimitReports
 	CutOff  bool // the sender has lost its links to the backend servers
 	Demand  map[deployment.ServiceName][]admission.PriorityDemand
+	// Loans are the retries that the sender leaves to others, by service.
+	Loans map[deployment.ServiceName]map[retrybudget.Borrower]float64
 }
 
 // LinksState reports whether the sender has lost its links to the backend servers. It is sent
@@ -199,11 +201,17 @@
 }
 
 // ZoneLoads reports how many requests of all instances of a zone are in flight on each
-// backend server of a model, and what they know of backend servers with a limit.
+// backend server of a model, what they know of backend servers with a limit, and what they have
+// spent of the retries to each service.
 type ZoneLoads struct {
 	Zone   deployment.Zone
 	Loads  map[deployment.BackendID]int
 	Limits backend.LimitReports
+	// Retries are sums over Lenders instances of the zone.
+	Retries map[deployment.ServiceName]retrybudget.Spending
+	Lenders int
+	// Loans are the retries that the zone leaves to the one that this message goes to.
+	Loans map[deployment.ServiceName]float64
 }
 
 // StageObserved reports what the sender has observed of a backend server of a model.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -95,6 +95,7 @@
 	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
 	CutOff  bool                    `cbor:"4,keyasint,omitempty"`
 	Demand  map[string][]wireDemand `cbor:"5,keyasint,omitempty"`
+	Loans   map[string]wireLoans    `cbor:"6,keyasint,omitempty"`
 }
 
 // wireDemand is the demand in requests of one rank.
@@ -107,6 +108,12 @@
 	ArrivalsPerSecond float64
 }
 
+type wireLoans struct {
+	_         struct{} `cbor:",toarray"`
+	Instances map[string]float64
+	Zones     map[string]float64
+}
+
 type wireLimit struct {
 	_            struct{} `cbor:",toarray"`
 	PerSecond    float64
@@ -123,9 +130,13 @@
 }
 
 type wireZoneLoads struct {
-	Zone   string               `cbor:"1,keyasint"`
-	Loads  map[string]int       `cbor:"2,keyasint"`
-	Limits map[string]wireLimit `cbor:"3,keyasint,omitempty"`
+	Zone    string                  `cbor:"1,keyasint"`
+	Loads   map[string]int          `cbor:"2,keyasint"`
+	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
+	Retries map[string]wireSpending `cbor:"4,keyasint,omitempty"`
+	Lenders int                     `cbor:"5,keyasint,omitempty"`
+	// Numbers 6 and 7 are for the demand and the free capacity of the zone.
+	Loans map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 type wireStageObserved struct {
--- a/internal/retrybudget/window.go
+++ b/internal/retrybudget/window.go
@@ -11,12 +11,15 @@
 	// bucketCount is the number of time buckets in which the requests of a window are
 	// counted.
 	bucketCount = 20
+	// denialLifetime is how long after a denial a retry counts as needed. Requests that wait ask
+	// again each 20 ms.
+	denialLifetime = 500 * time.Millisecond
 )
 
 // WindowBudget limits the retries in every sliding window of some seconds: to a fraction
 // of the requests in the window, plus this instance's part of a reserve that all instances
-// share. What other instances leave of their parts may be borrowed, as far as they have
-// reported it. It is safe for concurrent use.
+// share. It may spend what other instances have lent to it, and not what it has lent to them. It is
+// safe for concurrent use.
 type WindowBudget struct {
 	mu           sync.Mutex
 	bounds       Bounds
@@ -25,23 +28,20 @@
 	retries      []time.Time      // within the window
 	requests     [bucketCount]int // by bucket
 	newestBucket int64            // number of the newest bucket since the Unix epoch
-	others       Spending         // sum over lenders other instances
-	lenders      int
-	borrowed     int // retries beyond the own part since the last SetOthers
+	loans        map[Borrower]*loanState
+	granted      []Loan   // by other instances to this one
+	reported     Spending // in the last Report
+	deniedAt     time.Time
 }
 
-// Spending is the allowance of an instance and what it has spent of it in the window that
-// ends now, borrowed retries included.
+// Spending is what an instance, or several together, may spend in the window that ends now, and
+// what they have spent, borrowed retries included. A retry that was denied just now counts as
+// spent, so that an instance whose part is less than one retry is known to need more.
 type Spending struct {
 	Allowed float64
 	Spent   float64
 }
 
-// borrowedShare is the share of what is left of the other instances' allowances that all
-// instances together may borrow until they have reported again. It leaves room for reports that
-// are lost, and for requests that leave the window before the retries that they allowed.
-const borrowedShare = 0.5
-
 // Bounds limit the retries that all instances together may send to a service.
 type Bounds struct {
 	Ratio   float64 // retries for each request in a window
@@ -53,7 +53,7 @@
 // include the reserve, because an earlier process of this instance may have spent its
 // part of the reserve just before now.
 func NewWindowBudget(now time.Time, bounds Bounds, instances int) *WindowBudget {
-	return &WindowBudget{bounds: bounds, instances: max(1, instances), started: now}
+	return &WindowBudget{bounds: bounds, instances: max(1, instances), started: now, loans: map[Borrower]*loanState{}}
 }
 
 // SetBounds changes the bounds. If the length of the window changes, the request counts
@@ -102,9 +102,6 @@
 		return false
 	}
 	w.retries = append(w.retries, now)
-	if own := w.spending(now); own.Spent > own.Allowed {
-		w.borrowed++
-	}
 	return true
 }
 
@@ -124,10 +121,14 @@
 		share = 1 - urgentFraction
 	}
 	own := w.spending(now)
-	return own.Spent+1 <= share*own.Allowed || w.canBorrow(own, share)
+	if own.Spent+1 <= share*(own.Allowed+w.borrowed(now)) {
+		return true
+	}
+	w.deniedAt = now
+	return false
 }
 
-// spending returns the state of this instance's part of the budget.
+// spending returns the state of this instance's part of the budget, less what it has lent.
 func (w *WindowBudget) spending(now time.Time) Spending {
 	w.expire(now)
 	requests := 0
@@ -136,32 +137,40 @@
 	}
 	allowed := w.bounds.Ratio * float64(requests)
 	if now.Sub(w.started) > w.bounds.Window {
-		allowed += w.bounds.Reserve / float64(w.instances)
+		allowed += w.part() - w.lent(now)
 	}
 	return Spending{Allowed: allowed, Spent: float64(len(w.retries))}
 }
 
-// canBorrow reports whether the parts of all instances that have reported suffice for one
-// more retry of this one, even if each of them borrows as much before it reports again.
-func (w *WindowBudget) canBorrow(own Spending, share float64) bool {
-	left := share*(own.Allowed+w.others.Allowed) - own.Spent - w.others.Spent + float64(w.borrowed)
-	return float64((w.borrowed+1)*(w.lenders+1)) <= borrowedShare*left
+// Report returns what this instance may spend and has spent, to be told to the others.
+func (w *WindowBudget) Report(now time.Time) Spending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reported = w.current(now)
+	return w.reported
 }
 
-// Report returns this instance's part of the budget, to be passed to SetOthers of the
-// others.
-func (w *WindowBudget) Report(now time.Time) Spending {
+// Spending returns what Report returns, and does not count as a report.
+func (w *WindowBudget) Spending(now time.Time) Spending {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.spending(now)
+	return w.current(now)
 }
 
-// SetOthers sets the sum over the parts of other instances, as many as lenders, that have
-// reported theirs since the last call.
-func (w *WindowBudget) SetOthers(others Spending, lenders int) {
+// ReportDue reports whether half of what was left at the last Report has been spent since.
+func (w *WindowBudget) ReportDue(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.others, w.lenders, w.borrowed = others, lenders, 0
+	return w.current(now).changedSince(w.reported)
+}
+
+func (w *WindowBudget) current(now time.Time) Spending {
+	state := w.spending(now)
+	state.Allowed = max(0, state.Allowed+w.borrowed(now))
+	if now.Sub(w.deniedAt) < denialLifetime {
+		state.Spent++
+	}
+	return state
 }
 
 // expire removes the retries and request counts that are older than the window.
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -43,9 +41,14 @@
 	// unchanged load is broadcast in every unchangedLoadTicks-th interval only.
 	loadInterval       = 400 * time.Millisecond
 	unchangedLoadTicks = 3
-	// minRelayInterval is the minimum interval at which the load of another zone is
-	// relayed, as more than one instance may receive it.
-	minRelayInterval = loadInterval * 3 / 4
+	// earlyLoadInterval is the minimum interval between reports that are sent early because
+	// much has changed.
+	earlyLoadInterval = 50 * time.Millisecond
+	// minRelayInterval is the minimum interval at which the load of another zone is relayed, as
+	// more than one instance may receive it, and minEarlyRelayInterval that for early reports. The
+	// latter is below earlyLoadInterval, as messages don't arrive evenly.
+	minRelayInterval      = loadInterval * 3 / 4
+	minEarlyRelayInterval = earlyLoadInterval / 2
 )
 
 // newMesh returns the mesh of links to the other instances.
@@ -143,7 +146,7 @@
 			r.relayPeers.SetPeers(relayPeersOf(entries))
 			r.mesh.SetInstances(now, list)
 			r.fleet.SetInstanceCounts(1+len(list), 1+r.countInZone(list))
-			r.gateway.SetInstanceCount(1 + len(list))
+			r.gateway.SetInstanceCounts(1+len(list), 1+r.countInZone(list))
 		} else {
 			r.logger.Debug("read of instances topic failed", zap.Error(err))
 		}
@@ -195,68 +198,6 @@
 	return count
 }
 
-// broadcastLoads sends the load of this instance to its zone, and the load of its zone to
-// the other zones, until ctx ends.
-func (r *Router) broadcastLoads(ctx context.Context) {
-	var last backend.StageLoads
-	hadDemand := false // in the last message
-	unchanged := 0
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		r.sendZoneLoads(now)
-		r.repeatLinksState(now)
-		r.gateway.ShareRetries(now)
-		loads, limits, cutOff := r.fleet.SnapshotLoads(), r.fleet.LimitReports(now), r.outOfReach(now)
-		demand := r.gateway.Demand(now)
-		hasNews := len(limits) > 0 || cutOff || len(demand) > 0 || hadDemand
-		if unchanged++; maps.Equal(loads, last) && !hasNews && unchanged < unchangedLoadTicks {
-			continue
-		}
-		last, unchanged, hadDemand = loads, 0, len(demand) > 0
-		r.mesh.BroadcastZone(peer.StageLoads{Loads: loads, Retries: r.gateway.RetriesSpent(now), Limits: limits, CutOff: cutOff, Demand: demand})
-	}
-}
-
-// sendZoneLoads sends the load of this zone to one instance of each other zone to which
-// this instance is a bridge. That one relays it to its zone.
-func (r *Router) sendZoneLoads(now time.Time) {
-	sent := map[instancelist.Zone]bool{instancelist.Zone(r.settings.Zone): true}
-	var message peer.Message
-	for _, instance := range r.mesh.Active() {
-		if sent[instance.Zone] {
-			continue
-		}
-		sent[instance.Zone] = true
-		if !r.mesh.IsBridge(instance.Zone) {
-			continue
-		}
-		if message == nil {
-			message = peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now), Limits: r.fleet.ZoneLimitReports(now)}
-		}
-		r.mesh.Send(instance.Instance, message)
-	}
-}
-
-// handleZoneLoads stores the load of another zone, and relays it to this zone if it comes
-// from there.
-func (r *Router) handleZoneLoads(now time.Time, from peer.Hello, message peer.ZoneLoads) {
-	if message.Zone == r.settings.Zone {
-		return
-	}
-	r.fleet.SetZoneLoads(now, message.Zone, message.Loads)
-	r.logLimitsTold(from, r.fleet.SetZoneLimits(now, message.Zone, message.Limits))
-	if from.Zone != instancelist.Zone(r.settings.Zone) && r.zoneRelays.due(now, message.Zone) {
-		r.mesh.BroadcastZone(message)
-	}
-}
-
 // logLimitsTold logs the backend servers whose limits have changed by what a peer told.
 func (r *Router) logLimitsTold(from peer.Hello, changed []deployment.BackendID) {
 	for _, id := range changed {
@@ -264,26 +205,6 @@
 	}
 }
 
-// zoneRelays records when the load of each other zone was last relayed.
-type zoneRelays struct {
-	mu sync.Mutex
-	at map[deployment.Zone]time.Time
-}
-
-// due reports whether the load of a zone is to be relayed now, and records that it is.
-func (z *zoneRelays) due(now time.Time, zone deployment.Zone) bool {
-	z.mu.Lock()
-	defer z.mu.Unlock()
-	if now.Sub(z.at[zone]) < minRelayInterval {
-		return false
-	}
-	if z.at == nil {
-		z.at = map[deployment.Zone]time.Time{}
-	}
-	z.at[zone] = now
-	return true
-}
-
 // HandleLink implements peer.Receiver. It sends the new peer what is known of ends of backend
 // servers, whether this instance reaches them, up to which offsets it has the topics and, if it
 // holds the lease of its zone, the fencing token.
@@ -373,7 +294,7 @@
 		r.fleet.SetPeerLoads(now, deployment.InstanceID(from.Instance), message.Loads)
 		r.relayPeers.SetLoad(deployment.InstanceID(from.Instance), backend.StageLoads(message.Loads).Total())
 		r.relayPeers.SetReaching(now, deployment.InstanceID(from.Instance), !message.CutOff)
-		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), message.Retries)
+		r.gateway.SetPeerRetries(now, deployment.InstanceID(from.Instance), retryReportsOf(message))
 		r.gateway.SetPeerDemand(now, deployment.InstanceID(from.Instance), message.Demand)
 		r.logLimitsTold(from, r.fleet.SetPeerLimits(now, deployment.InstanceID(from.Instance), message.Limits))
 	case peer.LinksState:
