--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -69,7 +69,7 @@
 			Sent: 4, Statement: serverlimit.Statement{PerSecond: 2.5, NamedAge: time.Second, Answered: true, LiftedAge: time.Minute},
 		}}},
 		StageLoads{
-			Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{},
+			Loads: map[deployment.BackendID]int{}, Retries: map[deployment.ServiceName]retrybudget.Spending{}, Limits: backend.LimitReports{},
 			Loans: map[deployment.ServiceName]map[retrybudget.Borrower]float64{"s": {{Instance: "i"}: 0.5, {Zone: "z"}: 2}},
 		},
 		ZoneLoads{
--- a/internal/peer/loadcodec.go
+++ b/internal/peer/loadcodec.go
@@ -29,10 +29,14 @@
 }
 
 func zoneLoadsFromWire(wire *wireZoneLoads) ZoneLoads {
-	return ZoneLoads{
+	loads := ZoneLoads{
 		Zone: deployment.Zone(wire.Zone), Loads: loadsFromWire(wire.Loads), Limits: limitsFromWire(wire.Limits),
-		Retries: retriesFromWire(wire.Retries), Lenders: max(0, wire.Lenders), Loans: zoneLoansFromWire(wire.Loans),
+		Lenders: max(0, wire.Lenders), Loans: zoneLoansFromWire(wire.Loans),
 	}
+	if len(wire.Retries) > 0 {
+		loads.Retries = retriesFromWire(wire.Retries)
+	}
+	return loads
 }
 
 func loadsToWire(loads map[deployment.BackendID]int) map[string]int {
@@ -59,11 +63,8 @@
 	return wire
 }
 
-// retriesFromWire leaves out services whose numbers are no amounts. It returns nil for none.
+// retriesFromWire leaves out services whose numbers are no amounts.
 func retriesFromWire(wire map[string]wireSpending) map[deployment.ServiceName]retrybudget.Spending {
-	if len(wire) == 0 {
-		return nil
-	}
 	retries := make(map[deployment.ServiceName]retrybudget.Spending, len(wire))
 	for service, spending := range wire {
 		if isAmount(spending.Allowed) && isAmount(spending.Spent) {
