--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		stage := pipeline.Stage{
-			ID: s.ID, Address: s.Address, Zone: s.Zone, Layers: layers,
+			ID: s.ID, Address: s.Address, Zone: s.Zone, Layers: layers, Slots: s.Slots,
 			Accelerator: service.Engine.Accelerators[s.Accelerator], Slowdown: s.slowdown(now),
 			Requests: f.requestsOn(s), TimeToFirstEvent: s.firstEvent.expected(now),
 		}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -28,6 +28,8 @@
 	Zone        deployment.Zone
 	Layers      deployment.LayerRange
 	Accelerator deployment.Accelerator
+	// Slots is the number of requests that it takes as the first stage, 0 if unknown.
+	Slots int
 	// Requests estimates the requests of all instances in flight on the stage.
 	Requests int
 	// Full is set while the stage must get no new requests, but is expected to accept some
@@ -172,24 +174,76 @@
 // stays within one zone. Only if no zone holds all layers, it may cross zones. Find returns
 // false if it finds no path of at most maxHops hops that covers all layers in order on
 // stages that are not full.
-func Find(engine *deployment.Engine, stages []Stage, zone deployment.Zone) (Path, bool) {
+//
+// With an order of zones, the path is in the first of them that has one by which events come within
+// the engine's TargetEventGap, else the path with the lowest cost in any of them.
+func Find(engine *deployment.Engine, stages []Stage, zone deployment.Zone, order ...deployment.Zone) (Path, bool) {
+	byZone := ByZone(stages)
+	var best Path
+	var found bool
+	if len(order) > 0 {
+		best, found = findInOrder(engine, byZone, order)
+	} else {
+		best, found = findCheapest(engine, byZone, zone)
+	}
+	if found || anyComplete(engine, byZone) {
+		return best, found
+	}
+	return findPath(engine, accepting(stages), zone)
+}
+
+// ByZone groups stages by zone.
+func ByZone(stages []Stage) map[deployment.Zone][]Stage {
 	byZone := map[deployment.Zone][]Stage{}
 	for _, stage := range stages {
 		byZone[stage.Zone] = append(byZone[stage.Zone], stage)
 	}
+	return byZone
+}
+
+// anyComplete reports whether a zone holds all layers.
+func anyComplete(engine *deployment.Engine, byZone map[deployment.Zone][]Stage) bool {
+	for _, inZone := range byZone {
+		if len(MissingLayers(engine, inZone)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// findCheapest returns the cheapest path that stays within one zone.
+func findCheapest(engine *deployment.Engine, byZone map[deployment.Zone][]Stage, zone deployment.Zone) (Path, bool) {
 	var best Path
-	found, complete := false, false
+	found := false
 	for _, inZone := range byZone {
-		complete = complete || len(MissingLayers(engine, inZone)) == 0
 		path, ok := findPath(engine, accepting(inZone), zone)
 		if ok && (!found || path.before(&best)) {
 			best, found = path, true
 		}
 	}
-	if found || complete {
-		return best, found
+	return best, found
+}
+
+// findInOrder returns the path within the first zone that has one which meets the target for the
+// gap between events, else the cheapest path within one of the zones.
+func findInOrder(engine *deployment.Engine, byZone map[deployment.Zone][]Stage, order []deployment.Zone) (Path, bool) {
+	var best Path
+	found := false
+	for _, zone := range order {
+		path, ok := findPath(engine, accepting(byZone[zone]), zone)
+		if ok && meetsTarget(engine, &path) {
+			return path, true
+		}
+		if ok && (!found || path.before(&best)) {
+			best, found = path, true
+		}
 	}
-	return findPath(engine, accepting(stages), zone)
+	return best, found
+}
+
+// meetsTarget reports whether events come within the engine's target for the gap between them.
+func meetsTarget(engine *deployment.Engine, path *Path) bool {
+	return engine.TargetEventGap == 0 || path.Cost*time.Duration(max(1, engine.Stride)) <= engine.TargetEventGap
 }
 
 // before reports whether a path is the better choice of two.
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -29,23 +30,33 @@
 }
 
 // TestFind runs scripts. A line is a stage (id, zone, accelerator, layers and optionally
-// requests=N, slow=X and start=MS) or a query: "from ZONE" finds a path, and
-// "around ID from ZONE" reroutes that path around a failed stage.
+// requests=N, slow=X and start=MS) or a query: "from ZONE" finds a path, "from ZONE in ZONES" one in
+// the first of these zones, and "around ID from ZONE" reroutes that path around a failed stage.
+// "gap MS" sets the target for the gap between events.
 func TestFind(t *testing.T) {
 	testarchive.Each(t, "testdata/*.txtar", func(t *testing.T, files [][]byte) {
+		engine := testEngine()
 		var stages []Stage
 		var results []string
 		lines := bufio.NewScanner(bytes.NewReader(files[0]))
 		for lines.Scan() {
 			fields := strings.Fields(lines.Text())
 			switch fields[0] {
+			case "gap":
+				gap, err := strconv.Atoi(fields[1])
+				assert.NilError(t, err)
+				engine.TargetEventGap = time.Duration(gap) * time.Millisecond
 			case "from":
-				path, ok := Find(testEngine(), stages, deployment.Zone(fields[1]))
+				var order []deployment.Zone
+				for _, zone := range fields[min(3, len(fields)):] {
+					order = append(order, deployment.Zone(zone))
+				}
+				path, ok := Find(engine, stages, deployment.Zone(fields[1]), order...)
 				results = append(results, format(path, ok))
 			case "around":
-				path, ok := Find(testEngine(), stages, deployment.Zone(fields[3]))
+				path, ok := Find(engine, stages, deployment.Zone(fields[3]))
 				assert.Assert(t, ok)
-				path, ok = Reroute(testEngine(), stages, path, addresses(fields[1]))
+				path, ok = Reroute(engine, stages, path, addresses(fields[1]))
 				results = append(results, format(path, ok))
 			default:
 				stages = append(stages, parseStage(t, fields))
