--- a/cmd/mulberryhead/main_test.go
+++ b/cmd/mulberryhead/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"gotest.tools/v3/assert"
@@ -50,3 +51,14 @@
 		})
 	}
 }
+
+// TestInvalidZoneCrossingCost guards against an instance that starts with a cost that nobody meant.
+func TestInvalidZoneCrossingCost(t *testing.T) {
+	for _, value := range []string{"-1ms", "11s", "abc", "NaN", "5", "99999999999h"} {
+		_, err := flags.NewParser(&commands{}, flags.PassDoubleDash).ParseArgs([]string{"route", "--zone-crossing-cost=" + value})
+		assert.ErrorContains(t, err, "--zone-crossing-cost")
+		assert.Equal(t, exitCode(err), exitUsage)
+	}
+	assert.NilError(t, (&routeCommand{ZoneCrossingCost: 10 * time.Second}).validate())
+	assert.NilError(t, (&routeCommand{}).validate())
+}
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -86,6 +86,10 @@
 // answerTimeWeight is the weight of one answer in the mean time of an answer.
 const answerTimeWeight = 0.05
 
+// AnswerTime returns the mean time from the admission of a request to the end of its answer, 0 if
+// it is unknown.
+func (q *Queue) AnswerTime() time.Duration { return q.answerTime }
+
 // RecordAnswer records how long an answer took from its admission to its end.
 func (q *Queue) RecordAnswer(took time.Duration) {
 	if took <= 0 {
--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -56,6 +56,11 @@
 	if !short {
 		return nil
 	}
+	return q.AllDemand(now)
+}
+
+// AllDemand returns the demand of this instance by rank, whether requests have waited or not.
+func (q *Queue) AllDemand(now time.Time) []PriorityDemand {
 	var demand []PriorityDemand
 	for _, state := range q.ranks {
 		if !state.active(now) {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -253,7 +253,9 @@
 // roundTrip sends one attempt and reads the complete response.
 func (b *bufferedRequest) roundTrip(ctx context.Context, reserved *bufferedReservation, request backend.Request) outcome {
 	inFlight := reserved.inFlight
+	received := b.gateway.Metrics.countCrossing(b.gateway.crossingOfServer(b.call, inFlight.Backend), request.Body)
 	response, err := b.send(ctx, reserved, request)
+	countBody(response, received)
 	if err != nil {
 		var notSent *backend.NotSentError
 		if errors.As(err, &notSent) {
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -13,12 +13,14 @@
 const invalidDemandLogInterval = 10 * time.Second
 
 // Demand returns the demand of this instance for each service for which requests have waited
-// lately, to be sent to the other instances of the zone. It is nil if there is none.
+// lately, or whose demand the zones share, to be sent to the other instances of the zone: plans
+// for other zones assume that they know it. It is nil if there is none.
 func (g *Gateway) Demand(now time.Time) map[deployment.ServiceName][]admission.PriorityDemand {
 	var demand map[deployment.ServiceName][]admission.PriorityDemand
 	for name, queue := range g.queues() {
-		own := queue.demand(now)
-		if own == nil {
+		own, answerTime := queue.demand(now, g.shares.knows(name))
+		g.shares.setOwn(name, own, answerTime)
+		if len(own) == 0 {
 			continue
 		}
 		if demand == nil {
@@ -36,6 +38,7 @@
 	for name, queue := range g.queues() {
 		ignored += queue.setPeerDemand(now, instance, demand[name])
 	}
+	g.shares.setPeerDemand(now, instance, demand)
 	if ignored > 0 && g.mayLogInvalidDemand(now) {
 		g.Logger.Warn("reported demand is invalid and ignored", zap.String("instance", string(instance)), zap.Int("entries", ignored))
 	}
@@ -63,10 +66,15 @@
 	return queues
 }
 
-func (q *queue) demand(now time.Time) []admission.PriorityDemand {
+// demand returns the demand by rank, also without a shortage if always is set, and the mean time
+// of an answer, 0 if unknown.
+func (q *queue) demand(now time.Time, always bool) ([]admission.PriorityDemand, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.admission.Demand(now)
+	if always {
+		return q.admission.AllDemand(now), q.admission.AnswerTime()
+	}
+	return q.admission.Demand(now), q.admission.AnswerTime()
 }
 
 func (q *queue) setPeerDemand(now time.Time, instance deployment.InstanceID, demand []admission.PriorityDemand) (ignored int) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// that serve requests in its place. Both may be nil, and then none is relayed.
 	Links *backend.Links
 	Peers *relay.SharedDirectory
+	// ZoneCrossingCost is the delay that a request must be expected to save for each megabyte that
+	// crosses to another zone.
+	ZoneCrossingCost time.Duration
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
 	// OnPoisonEvidence is called with what is new about ends of backend servers.
@@ -69,6 +72,7 @@
 	refusals    refusals
 	monitor     *streamMonitor
 	ends        *endWatch
+	shares      *zoneShares
 
 	mu          sync.Mutex
 	services    map[deployment.ServiceName]*serviceState
@@ -100,6 +104,7 @@
 		relayClient: relay.NewClient(backend.NewTransport(platform.Dialer(0, platform.BackendSilence).DialContext)),
 		monitor:     newStreamMonitor(config, ends),
 		ends:        ends,
+		shares:      newZoneShares(&config),
 		services:    map[deployment.ServiceName]*serviceState{},
 		retryBounds: retryBounds(config.Settings),
 		instances:   initialInstanceCount,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	heldKeys    prometheus.Gauge
 	admission   *admissionMetrics
 	estimates   prometheus.Histogram
+	crossings   crossingMetrics
 }
 
 // NewMetrics returns Metrics registered with registry.
@@ -49,6 +50,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.0625, 2, 9),
 	})
 	registry.MustRegister(m.firstEvents, m.responses, m.failures, m.cuts, m.backendEnds, m.heldKeys, m.estimates)
+	m.crossings = newCrossingMetrics(registry)
 	m.admission = newAdmissionMetrics(registry)
 	return m
 }
--- a/internal/gateway/pathrequest.go
+++ b/internal/gateway/pathrequest.go
@@ -79,7 +79,7 @@
 
 // reserve implements reserver: it chooses a path and counts the stream on its stages.
 func (p *pathRequest) reserve(now time.Time) (reservation, error) {
-	path, err := p.findPath(now)
+	path, order, err := p.findPath(now)
 	if err != nil {
 		return reservation{}, err
 	}
@@ -95,28 +95,33 @@
 		}
 		return reservation{}, errNoPath
 	}
-	reserved := reservation{path: path, inFlight: inFlight}
+	crossing := p.gateway.shares.record(now, p.call, order, inFlight.Backend.Zone)
+	reserved := reservation{path: path, inFlight: inFlight, crossing: crossing}
 	if retry {
 		reserved.budget = budget
 	}
 	return reserved, nil
 }
 
-// findPath chooses a path. Once the number of first stages that may have run the
-// request reaches the route's MaxAttempts, only these are allowed as first stage.
-func (p *pathRequest) findPath(now time.Time) (pipeline.Path, error) {
+// findPath chooses a path, and returns the order of zones in which it was sought, nil for none. Once
+// the number of first stages that may have run the request reaches the route's MaxAttempts, only
+// these are allowed as first stage, in whichever zone.
+func (p *pathRequest) findPath(now time.Time) (pipeline.Path, []deployment.Zone, error) {
 	service := p.call.service
 	stages := p.gateway.Fleet.StagesWithFull(now, service)
+	p.skipChecked(stages)
+	var order []deployment.Zone
 	if p.restricted() {
 		stages = p.allowedStages(stages)
+	} else {
+		order = p.gateway.shares.order(now, service, p.call.decision.Rank, stages)
 	}
-	p.skipChecked(stages)
-	path, ok := pipeline.Find(service.Engine, stages, p.gateway.Settings.Zone)
+	path, ok := pipeline.Find(service.Engine, stages, p.gateway.Settings.Zone, order...)
 	if !ok {
-		return path, &noPathError{missing: pipeline.MissingLayers(service.Engine, stages), stages: len(stages), ran: len(p.ran)}
+		return path, order, &noPathError{missing: pipeline.MissingLayers(service.Engine, stages), stages: len(stages), ran: len(p.ran)}
 	}
 	violation := pipeline.Check(service.Engine, path.Hops)
-	return path, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
+	return path, order, invariant.Check(violation == "", invariant.LayerOrder, "%s", violation)
 }
 
 // capacity implements reserver.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -25,6 +25,7 @@
 	budget *retrybudget.WindowBudget
 	// connection is open to the first stage, nil if none was opened yet.
 	connection *backend.Connection
+	crossing   *crossing // nil unless the path begins in another zone
 }
 
 // noCapacityError reports a rejection: the wait for capacity reaches the time that the
--- a/internal/gateway/reroute_test.go
+++ b/internal/gateway/reroute_test.go
@@ -279,9 +279,9 @@
 	c.service = service
 	request := &pathRequest{gateway: g, call: c}
 	g.ends.brokeOff["i-1"] = true
-	_, err := request.findPath(time.Now())
+	_, _, err := request.findPath(time.Now())
 	assert.ErrorContains(t, err, "no path")
 	delete(g.ends.brokeOff, "i-1")
-	_, err = request.findPath(time.Now())
+	_, _, err = request.findPath(time.Now())
 	assert.NilError(t, err)
 }
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -35,9 +35,11 @@
 	if s.call.decision.Route.Resumable {
 		monitored.setSource(&streamInFlight{stream: s, first: path.IDs[0]})
 	}
+	received := s.gateway.Metrics.countCrossing(reserved.crossing, s.call.request.Body)
 	response, err := s.send(ctx, reserved, started)
 	outcome := streamComplete
 	if err == nil {
+		countBody(response, received)
 		outcome, err = s.handleResponse(response, monitored, started)
 		response.Close()
 	} else {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -15,6 +15,7 @@
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/routing"
 	"mulberryhead.org/mulberryhead/internal/serverlimit"
+	"mulberryhead.org/mulberryhead/internal/spillover"
 )
 
 // FuzzDecode passes arbitrary bytes to the decoder, as a faulty peer might send. A
@@ -77,6 +78,11 @@
 			Retries: map[deployment.ServiceName]retrybudget.Spending{"s": {Allowed: 12, Spent: 7}},
 			Loans:   map[deployment.ServiceName]float64{"s": 2.5},
 		},
+		ZoneLoads{
+			Zone: "z", Loads: map[deployment.BackendID]int{}, Limits: backend.LimitReports{}, AsOf: time.UnixMilli(1500), Origin: "i",
+			Demand: map[deployment.ServiceName][]admission.PriorityDemand{"s": {{Rank: routing.Rank{Priority: 1}, Waiting: 2, Work: 3, ArrivalsPerSecond: 0.5}}},
+			Free:   map[deployment.ServiceName]spillover.Free{"s": {Requests: 4, PerSecond: 1.5}},
+		},
 		StageObserved{Backend: "b", What: backend.StageAccepted},
 		PoisonEvidence{Evidence: poison.Evidence{
 			Ends: []poison.End{{
--- a/internal/peer/loadcodec.go
+++ b/internal/peer/loadcodec.go
@@ -22,17 +22,21 @@
 }
 
 func zoneLoadsToWire(m ZoneLoads) *wireZoneLoads {
-	return &wireZoneLoads{
+	wire := &wireZoneLoads{
 		Zone: string(m.Zone), Loads: loadsToWire(m.Loads), Limits: limitsToWire(m.Limits),
 		Retries: retriesToWire(m.Retries), Lenders: m.Lenders, Loans: zoneLoansToWire(m.Loans),
 	}
+	wire.setZoneReport(m)
+	return wire
 }
 
 func zoneLoadsFromWire(wire *wireZoneLoads) ZoneLoads {
-	return ZoneLoads{
+	m := ZoneLoads{
 		Zone: deployment.Zone(wire.Zone), Loads: loadsFromWire(wire.Loads), Limits: limitsFromWire(wire.Limits),
 		Retries: retriesFromWire(wire.Retries), Lenders: max(0, wire.Lenders), Loans: zoneLoansFromWire(wire.Loans),
 	}
+	wire.readZoneReport(&m)
+	return m
 }
 
 func loadsToWire(loads map[deployment.BackendID]int) map[string]int {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,6 +17,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/google/uuid"
 
 	"mulberryhead.org/mulberryhead/internal/admission"
@@ -29,6 +31,7 @@
 	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/retrybudget"
 	"mulberryhead.org/mulberryhead/internal/runner"
+	"mulberryhead.org/mulberryhead/internal/spillover"
 	"mulberryhead.org/mulberryhead/internal/topiccache"
 	"mulberryhead.org/mulberryhead/pkg/environment"
 	"mulberryhead.org/mulberryhead/platform"
@@ -183,7 +186,8 @@
 
 // StageLoads reports how many requests of the sender are in flight on each backend server
 // of a model, what it has spent of the retries to each service, what it knows of backend
-// servers with a limit and has sent to them, and the demand for services for which requests wait.
+// servers with a limit and has sent to them, and its demand for services for
+// which requests wait, or whose demand the zones share.
 type StageLoads struct {
 	Loads   map[deployment.BackendID]int
 	Retries map[deployment.ServiceName]retrybudget.Spending
@@ -201,8 +205,9 @@
 }
 
 // ZoneLoads reports how many requests of all instances of a zone are in flight on each
-// backend server of a model, what they know of backend servers with a limit, and what they have
-// spent of the retries to each service.
+// backend server of a model, what they know of backend servers with a limit, what they have
+// spent of the retries to each service, their demand, and what the zone's replicas can take beyond
+// the requests in flight. Free is empty in messages of a build that does not know it.
 type ZoneLoads struct {
 	Zone   deployment.Zone
 	Loads  map[deployment.BackendID]int
@@ -211,7 +216,12 @@
 	Retries map[deployment.ServiceName]retrybudget.Spending
 	Lenders int
 	// Loans are the retries that the zone leaves to the one that this message goes to.
-	Loans map[deployment.ServiceName]float64
+	Loans  map[deployment.ServiceName]float64
+	Demand map[deployment.ServiceName][]admission.PriorityDemand
+	Free   map[deployment.ServiceName]spillover.Free
+	// AsOf is when the report was made, by the clock of Origin, the instance that made it.
+	AsOf   time.Time
+	Origin instancelist.ID
 }
 
 // StageObserved reports what the sender has observed of a backend server of a model.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -135,8 +135,12 @@
 	Limits  map[string]wireLimit    `cbor:"3,keyasint,omitempty"`
 	Retries map[string]wireSpending `cbor:"4,keyasint,omitempty"`
 	Lenders int                     `cbor:"5,keyasint,omitempty"`
-	// Numbers 6 and 7 are for the demand and the free capacity of the zone.
-	Loans map[string]float64 `cbor:"8,keyasint,omitempty"`
+	Loans   map[string]float64      `cbor:"8,keyasint,omitempty"`
+
+	Demand     map[string][]wireDemand `cbor:"6,keyasint,omitempty"`
+	Free       map[string]wireFree     `cbor:"7,keyasint,omitempty"`
+	AsOfMillis int64                   `cbor:"9,keyasint,omitempty"`
+	Origin     string                  `cbor:"10,keyasint,omitempty"`
 }
 
 type wireStageObserved struct {
--- a/internal/pipeline/capacity.go
+++ b/internal/pipeline/capacity.go
@@ -21,16 +21,19 @@
 // memory: the least that the stages of a layer can take together.
 func CapacityOf(engine *deployment.Engine, stages []Stage, limit float64) Capacity {
 	var c Capacity
-	var usable []Stage
-	boundaries := []int{0}
-	for _, stage := range stages {
+	usable := make([]Stage, 0, len(stages))
+	rooms := make([]float64, 0, len(stages))
+	boundaries := make([]int, 1, 1+2*len(stages))
+	for i := range stages {
+		stage := &stages[i]
 		if stage.Layers.First <= 0 {
 			c.Running += stage.Requests
 			if stage.Unreachable {
 				continue
 			}
 		}
-		usable = append(usable, stage)
+		usable = append(usable, *stage)
+		rooms = append(rooms, roomOn(engine, stage, limit))
 		boundaries = append(boundaries, stage.Layers.First, stage.Layers.End)
 	}
 	c.Complete = len(MissingLayers(engine, usable)) == 0
@@ -40,20 +43,24 @@
 	slices.Sort(boundaries)
 	c.Room = unknownRoom
 	for _, layer := range slices.Compact(boundaries) {
-		if layer < 0 || layer >= engine.Layers {
-			continue
+		if layer >= 0 && layer < engine.Layers {
+			c.Room = min(c.Room, roomFor(layer, usable, rooms))
 		}
-		room := 0.0
-		for i := range usable {
-			if usable[i].Layers.First <= layer && layer < usable[i].Layers.End {
-				room += roomOn(engine, &usable[i], limit)
-			}
-		}
-		c.Room = min(c.Room, room)
 	}
 	return c
 }
 
+// roomFor returns how many more requests the stages that hold a layer can take.
+func roomFor(layer int, stages []Stage, rooms []float64) float64 {
+	room := 0.0
+	for i := range stages {
+		if stages[i].Layers.First <= layer && layer < stages[i].Layers.End {
+			room += rooms[i]
+		}
+	}
+	return room
+}
+
 // roomOn returns how many more requests a stage can take.
 func roomOn(engine *deployment.Engine, stage *Stage, limit float64) float64 {
 	if stage.Full || stage.AtLimit {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -86,6 +86,9 @@
 	// remoteZoneCost is added to a path that starts in another zone than the request's,
 	// since its events cross the zone boundary.
 	remoteZoneCost = 5 * time.Millisecond
+	// eventGapShare is the share of the target gap between events that their computation may take,
+	// as in the placement of layers.
+	eventGapShare = 0.8
 )
 
 // PredictedStepTime is the predicted time of one token on some of a stage's layers, at
@@ -243,7 +246,8 @@
 
 // meetsTarget reports whether events come within the engine's target for the gap between them.
 func meetsTarget(engine *deployment.Engine, path *Path) bool {
-	return engine.TargetEventGap == 0 || path.Cost*time.Duration(max(1, engine.Stride)) <= engine.TargetEventGap
+	event := float64(path.Cost) * float64(max(1, engine.Stride))
+	return engine.TargetEventGap == 0 || event <= eventGapShare*float64(engine.TargetEventGap)
 }
 
 // before reports whether a path is the better choice of two.
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"mulberryhead.org/mulberryhead/internal/backend"
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/gateway"
@@ -88,12 +90,16 @@
 // sendZoneLoads sends the load of this zone to the bridged zones, those of which much has changed if
 // the regular time has not come. The instances that get it relay it to their zones.
 func (r *Router) sendZoneLoads(now time.Time, bridged []peer.Hello, regular bool) {
+	report := sync.OnceValue(func() gateway.ZoneReport { return r.gateway.ReportZone(now) })
 	for _, instance := range bridged {
 		zone := deployment.Zone(instance.Zone)
 		if !regular && !r.gateway.ZoneRetryReportsDue(now, zone) {
 			continue
 		}
-		message := peer.ZoneLoads{Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now), Limits: r.fleet.ZoneLimitReports(now)}
+		message := peer.ZoneLoads{
+			Zone: r.settings.Zone, Loads: r.fleet.ZoneLoads(now), Limits: r.fleet.ZoneLimitReports(now),
+			Demand: report().Demand, Free: report().Free, AsOf: report().AsOf, Origin: instancelist.ID(report().Origin),
+		}
 		setZoneRetryReports(&message, r.gateway.ZoneRetryReports(now, zone))
 		r.mesh.Send(instance.Instance, message)
 	}
@@ -125,6 +131,9 @@
 	r.fleet.SetZoneLoads(now, message.Zone, message.Loads)
 	r.gateway.SetZoneRetries(now, message.Zone, reports)
 	r.logLimitsTold(from, r.fleet.SetZoneLimits(now, message.Zone, message.Limits))
+	r.logInvalidReport(from, r.gateway.SetZoneReport(now, gateway.ZoneReport{
+		Zone: message.Zone, Demand: message.Demand, Free: message.Free, AsOf: message.AsOf, Origin: string(message.Origin),
+	}))
 	if from.Zone != instancelist.Zone(r.settings.Zone) && r.zoneRelays.due(now, message.Zone, reports) {
 		r.mesh.BroadcastZone(message)
 	}
@@ -157,6 +166,13 @@
 	return true
 }
 
+// logInvalidReport logs that a report of a peer was ignored. It does nothing without an error.
+func (r *Router) logInvalidReport(from peer.Hello, err error) {
+	if err != nil && r.invalidReports.Allow() {
+		r.logger.Warn("report of a peer ignored", zap.String("peer", string(from.Instance)), zap.Error(err))
+	}
+}
+
 func setRetryReports(message *peer.StageLoads, reports gateway.RetryReports) {
 	message.Retries = make(map[deployment.ServiceName]retrybudget.Spending, len(reports))
 	message.Loans = make(map[deployment.ServiceName]map[retrybudget.Borrower]float64, len(reports))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,7 +66,10 @@
 type Options struct {
 	SettingsPath string
 	MetricsPort  int
-	Output       io.Writer
+	// ZoneCrossingCost is the delay that a request must be expected to save for each megabyte that
+	// crosses to another zone.
+	ZoneCrossingCost time.Duration
+	Output           io.Writer
 	// WrapDial wraps the opening of connections to backend servers, for tests and for hosts
 	// with several networks. With nil they are opened directly.
 	WrapDial func(dial platform.DialFunc) platform.DialFunc
@@ -119,6 +122,7 @@
 	answers             *rate.Limiter // of records to peers that ask
 	readyLogged         sync.Once
 	invalidEntryLogged  sync.Once
+	invalidReports      *rate.Limiter // of log lines on reports of peers that were ignored
 }
 
 // Run runs an instance until ctx ends. It returns an error if the instance can't start
@@ -156,12 +160,14 @@
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	r.metrics = newMetrics(r.registry, sink, r.fleet)
 	r.answers = newAnswerLimiter()
+	r.invalidReports = rate.NewLimiter(rate.Every(time.Minute), 1)
 	r.newestConfiguration = newNewestConfiguration()
 	r.store = platform.NewStoreClient(settings.StoreAddress, r.metrics.storeCall)
 	r.gateway = gateway.New(gateway.Config{
 		Settings: settings, RoutingTable: &r.routingTable, Fleet: r.fleet, BackendClient: r.backendClient, Dial: r.links.Dial,
 		Metrics: gateway.NewMetrics(r.registry), Logger: r.logger, OnPoisonEvidence: r.broadcastPoisonEvidence, OnSlowdownMeasured: r.broadcastSlowdown,
 		OnObservation: r.broadcastObservation, Links: r.links, Peers: r.relayPeers, Leaving: r.shuttingDown.Load,
+		ZoneCrossingCost: options.ZoneCrossingCost,
 	})
 	r.relayHandler = relay.NewHandler(relay.HandlerConfig{
 		Self: settings.Instance, Key: r.relayKey, BodyLimit: r.bodyLimit, Server: r.gateway, Logger: r.logger,
--- a/internal/spillover/load_test.go
+++ b/internal/spillover/load_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -89,6 +90,7 @@
 	zoneFree          [simZones]Free
 	zoneToldAt        [simZones]time.Time
 	inTime, crossed   int
+	crossedAt         [simZones][simZones][]time.Time
 }
 
 func simulate(requests []simRequest, choose chooser) *simulation {
@@ -127,6 +129,7 @@
 		s.inTime++
 		if target != r.zone {
 			s.crossed++
+			s.crossedAt[r.zone][target] = append(s.crossedAt[r.zone][target], s.now)
 			s.allowances[r.zone][r.instance].Record(s.now, routing.Rank{}, simZone(target))
 		}
 		return true
@@ -143,7 +146,7 @@
 				s.zoneTold[z][target] += count
 			}
 		}
-		s.zoneDemand[z], s.zoneFree[z], s.zoneToldAt[z] = s.demand(z), s.free(z, 0, z, 0.9), s.now
+		s.zoneDemand[z], s.zoneFree[z], s.zoneToldAt[z] = s.demand(z), s.free(z, 0, z), s.now
 	}
 	s.told, s.queued = s.own, [simZones][simInstances]int{}
 	for _, r := range s.waiting {
@@ -171,9 +174,9 @@
 	return count
 }
 
-func (s *simulation) free(zone, instance, target int, limit float64) Free {
+func (s *simulation) free(zone, instance, target int) Free {
 	load := float64(s.load(zone, instance, target))
-	return Free{Requests: max(0, limit*simSlots-load), PerSecond: load / simAnswer.Seconds()}
+	return Free{Requests: max(0, 0.9*simSlots-load), PerSecond: load / simAnswer.Seconds()}
 }
 
 func (s *simulation) demand(zone int) []admission.PriorityDemand {
@@ -189,12 +192,12 @@
 
 // chooseShares is the choice under test.
 func chooseShares(s *simulation, r simRequest) []int {
-	input := Input{Home: ZoneState{Zone: simZone(r.zone), Demand: s.demand(r.zone), Free: s.free(r.zone, r.instance, r.zone, 1)}}
+	input := Input{Home: ZoneState{Zone: simZone(r.zone), Demand: s.demand(r.zone), Free: s.free(r.zone, r.instance, r.zone)}}
 	for z := range simZones {
 		if z == r.zone {
 			continue
 		}
-		free := s.free(r.zone, r.instance, z, 0.9)
+		free := s.free(r.zone, r.instance, z)
 		free.Requests = min(free.Requests, s.zoneFree[z].Requests)
 		input.Others = append(input.Others, ZoneState{Zone: simZone(z), Demand: s.zoneDemand[z], Free: free, Age: s.now.Sub(s.zoneToldAt[z])})
 	}
@@ -240,7 +243,8 @@
 }
 
 // TestServedNearlyAsByOracle guards against a zone whose requests wait or fail while others have
-// free capacity, and against requests that cross for no gain.
+// free capacity, against requests that cross for no gain, and against zones that send each other
+// requests for longer than an exchange of reports.
 func TestServedNearlyAsByOracle(t *testing.T) {
 	for name, rate := range map[string]func(zone int, at float64) float64{
 		"waves": func(zone int, at float64) float64 {
@@ -267,6 +271,37 @@
 			}
 			assert.Assert(t, meets(shares))
 			assert.Assert(t, !meets(cheapest), "the test does not tell the choices apart")
+			assert.Assert(t, shares.longestExchange() <= 2*simReport, "%v", shares.longestExchange())
+			assert.Assert(t, cheapest.longestExchange() > simReport, "the test does not tell the choices apart")
 		})
 	}
 }
+
+// longestExchange returns for how long two zones have sent each other requests, each within one
+// report interval of the other.
+func (s *simulation) longestExchange() time.Duration {
+	longest := time.Duration(0)
+	for from := range simZones {
+		for to := range from {
+			var since, last time.Time
+			for at := simStart; at.Before(s.now); at = at.Add(simStep) {
+				if sentWithin(s.crossedAt[from][to], at) && sentWithin(s.crossedAt[to][from], at) {
+					if last.IsZero() {
+						since = at
+					}
+					last = at
+					longest = max(longest, last.Sub(since))
+					continue
+				}
+				last = time.Time{}
+			}
+		}
+	}
+	return longest
+}
+
+// sentWithin reports whether one of the times is within the report interval before at.
+func sentWithin(times []time.Time, at time.Time) bool {
+	i := sort.Search(len(times), func(i int) bool { return times[i].After(at.Add(-simReport)) })
+	return i < len(times) && !times[i].After(at)
+}
--- a/internal/spillover/spillover_test.go
+++ b/internal/spillover/spillover_test.go
@@ -102,7 +102,10 @@
 		reserves := map[crossing]float64{}
 		for i, home := range states {
 			plan := Decide(Input{Home: home, Others: slices.Concat(states[:i], states[i+1:])})
+			shares := map[int]float64{}
 			for _, send := range plan.Sends {
+				shares[send.Rank.Route] += send.Share
+				assert.Assert(t, shares[send.Rank.Route] <= 1+1e-9, "more than there is, as several neighbours offer: %+v", plan)
 				sends[crossing{home.Zone, send.Zone, send.Rank.Route}] = send.Requests
 			}
 			for zone, requests := range plan.Reserve {
