--- a/internal/peer/loadcodec.go
+++ b/internal/peer/loadcodec.go
@@ -22,10 +22,12 @@
 }
 
 func zoneLoadsToWire(m ZoneLoads) *wireZoneLoads {
-	return &wireZoneLoads{
+	wire := &wireZoneLoads{
 		Zone: string(m.Zone), Loads: loadsToWire(m.Loads), Limits: limitsToWire(m.Limits),
 		Retries: retriesToWire(m.Retries), Lenders: m.Lenders, Loans: zoneLoansToWire(m.Loans),
 	}
+	wire.setZoneReport(m)
+	return wire
 }
 
 func zoneLoadsFromWire(wire *wireZoneLoads) ZoneLoads {
@@ -36,6 +38,7 @@
 	if len(wire.Retries) > 0 {
 		loads.Retries = retriesFromWire(wire.Retries)
 	}
+	wire.readZoneReport(&loads)
 	return loads
 }
 
