--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -156,9 +156,9 @@
 	}
 }
 
-// RecordPassed ends the suspicions of the stages of a path that began before a time, as an event
-// shows that they have run since. One that began later stays: the event may have passed the stage
-// before it was lost.
+// RecordPassed ends the suspicions of the stages of a path that began before a time, that of the event
+// before the one which has arrived: all of the stages have run since. One that began later stays, as
+// events that had passed a lost stage go on to arrive for a while.
 func (f *Fleet) RecordPassed(path pipeline.Path, before time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/reroute.go
+++ b/internal/gateway/reroute.go
@@ -213,8 +213,20 @@
 	return added
 }
 
-// findReroute finds and reserves a path without the failed stages of a stream and without stages
-// that were refused for it.
+// lostStages returns the stages of a path to replace: those that are suspected, and those for which a
+// reroute was refused although the request is there already. Such a stage is lost: it needs no room.
+func lostStages(path pipeline.Path, suspects, refused []deployment.Address) []deployment.Address {
+	lost := slices.Clone(suspects)
+	for _, address := range refused {
+		if path.Contains(address) && !slices.Contains(lost, address) {
+			lost = append(lost, address)
+		}
+	}
+	return lost
+}
+
+// findReroute finds and reserves a path without the lost stages of a stream and without stages that
+// were refused for it.
 func (m *streamMonitor) findReroute(now time.Time, stream *monitoredStream, refused []deployment.Address) (reservation, bool) {
 	service := stream.call.service
 	path := stream.path()
@@ -223,7 +235,7 @@
 		return reservation{}, false
 	}
 	stages := slices.DeleteFunc(m.config.Fleet.StagesWithFull(now, service), func(stage pipeline.Stage) bool {
-		return slices.Contains(refused, stage.Address) && !path.Contains(stage.Address)
+		return slices.Contains(refused, stage.Address)
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -232,7 +244,7 @@
 		m.prefill.forget(now)
 		m.prefill.predict(now, service.Engine, stages, stream.call.heldTokens(), scale)
 	}
-	rerouted, ok := pipeline.Reroute(service.Engine, stages, path, suspects)
+	rerouted, ok := pipeline.Reroute(service.Engine, stages, path, lostStages(path, suspects, refused))
 	if !ok || pipeline.Check(service.Engine, rerouted.Hops) != "" {
 		return reservation{}, false
 	}
--- a/internal/gateway/reroute_test.go
+++ b/internal/gateway/reroute_test.go
@@ -37,6 +37,8 @@
 type fakeFirstStage struct {
 	refuse   int  // number of orders that are refused
 	recovers bool // streams go on along their path once an order was refused
+	// lost is a stage for which all orders are refused whose path contains it.
+	lost deployment.Address
 
 	mu      sync.Mutex
 	orders  []rerouteOrder
@@ -81,7 +83,8 @@
 	stream := f.stream(order.ID)
 	f.mu.Lock()
 	f.orders = append(f.orders, order)
-	refused := len(f.orders) <= f.refuse
+	names := f.lost != "" && strings.Contains(order.Path, string(f.lost))
+	refused := len(f.orders) <= f.refuse || names
 	first := len(f.orders) == 1
 	f.mu.Unlock()
 	if !refused || f.recovers && first {
@@ -90,6 +93,9 @@
 	if refused {
 		w.WriteHeader(http.StatusConflict)
 	}
+	if names {
+		_ = json.NewEncoder(w).Encode(map[string]string{"address": string(f.lost)})
+	}
 	f.ordered <- order
 }
 
@@ -270,6 +276,54 @@
 	assert.DeepEqual(t, stages, map[string]string{"shorter": "10.0.0.3:80=20-80", "longer": "10.0.0.4:80=20-80", "later": "10.0.0.3:80=20-80"})
 }
 
+// TestStageThatIsNotThereIsReplacedToo guards against a reroute that keeps a second lost stage, which is
+// not suspected yet, until all choices are used up: the refusal names it.
+func TestStageThatIsNotThereIsReplacedToo(t *testing.T) {
+	now := time.Now()
+	lost := deployment.Address("10.0.0.4:80")
+	first := &fakeFirstStage{lost: lost}
+	fleet := backend.NewFleet("a")
+	fleet.Replace(now, []deployment.Backend{
+		stage("1", first.start(t), "fast", 0), stage("2", unreachable, "fast", 20), stage("3", "10.0.0.3:80", "fast", 40), stage("4", lost, "fast", 60),
+		stage("5", "10.0.0.5:80", "slow", 20), stage("6", "10.0.0.6:80", "slow", 60),
+	})
+	g := testGateway(fleet)
+	c := gapCall("r", 0)
+	path, ok := pipeline.Find(c.service.Engine, fleet.StagesWithFull(now, c.service), "a")
+	assert.Assert(t, ok)
+	inFlight, ok := fleet.Begin(now, path)
+	assert.Assert(t, ok)
+	stream := g.monitor.add(c, reservation{path: path, inFlight: inFlight}, true, func() {})
+	fleet.MarkSuspect(now, unreachable)
+	g.monitor.reroute(context.Background(), stall{stream: stream, since: stream.lastEvent.Load()})
+	assert.Equal(t, len(first.orders), 2)
+	assert.Assert(t, stream.path().Contains("10.0.0.5:80") && stream.path().Contains("10.0.0.6:80"), "%v", stream.path().Hops)
+}
+
+// TestEventOfALostStageIsNoSign guards against a lost stage that counts as sound again, and is used for
+// further reroutes, since events that had passed it arrive after it was lost.
+func TestEventOfALostStageIsNoSign(t *testing.T) {
+	fleet, service := testFleet(time.Now())
+	g := testGateway(fleet)
+	c := gapCall("r", 0)
+	c.service = service
+	monitored := g.monitor.add(c, testReservation(t, fleet, time.Now()), true, func() {})
+	observer := &attemptObserver{stream: &stream{gateway: g, call: c}, monitored: monitored}
+	begun := time.Now()
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	for ms := 10; ms <= 200; ms += 10 {
+		g.monitor.silence.step(at(ms))
+		if ms <= 100 && ms%20 == 0 {
+			observer.observeEvent(at(ms))
+		}
+	}
+	fleet.MarkSuspect(at(170), "10.0.0.1:80")
+	observer.observeEvent(at(200))
+	assert.Equal(t, len(fleet.Suspects()), 1, "passed before it was lost")
+	observer.observeEvent(at(220))
+	assert.Equal(t, len(fleet.Suspects()), 0, "the stages ran after 200 ms")
+}
+
 // TestFirstStageUnderCheckIsNotTriedAgain guards against streams with a target gap that are sent
 // again to a first stage that broke off, before it is known whether it has ended.
 func TestFirstStageUnderCheckIsNotTriedAgain(t *testing.T) {
--- a/internal/gateway/silencewatch.go
+++ b/internal/gateway/silencewatch.go
@@ -71,16 +71,16 @@
 	}
 }
 
-// event records an event. If the stream was silent, it returns its typical interval.
-func (w *silenceWatch) event(now time.Time, stream *monitoredStream) (interval time.Duration, wasSilent bool) {
+// event records an event, and reports whether the stream was silent before.
+func (w *silenceWatch) event(now time.Time, stream *monitoredStream) (wasSilent bool) {
 	if stream.observed == 0 {
-		return 0, false
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, _, wasSilent = w.detector.Silence(now, stream.observed)
 	w.detector.Event(now, stream.observed)
-	return w.detector.Interval(stream.observed), wasSilent
+	return wasSilent
 }
 
 func (w *silenceWatch) move(now time.Time, stream *monitoredStream, servers []deployment.Backend) {
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -251,8 +251,8 @@
 	g := o.stream.gateway
 	o.stream.call.events.Add(1)
 	o.stream.call.logContinued(g.Logger, now)
-	if interval, wasSilent := g.monitor.silence.event(now, o.monitored); wasSilent {
-		g.Fleet.RecordPassed(o.monitored.path(), now.Add(-interval))
+	if wentOn := o.monitored.wentOn.Swap(g.monitor.silence.event(now, o.monitored)); wentOn {
+		g.Fleet.RecordPassed(o.monitored.path(), now.Add(-o.monitored.sinceLastEvent(now)))
 	}
 	if o.monitored.sinceLastEvent(now) >= stallThreshold {
 		g.Fleet.RecordResponsive(o.monitored.path())
--- a/internal/gateway/streammonitor.go
+++ b/internal/gateway/streammonitor.go
@@ -43,6 +43,7 @@
 	rerouting   atomic.Bool              // a reroute, or the search for another path, is in progress
 	seekAgain   atomic.Int64             // not to be rerouted before, Unix nanoseconds
 	observed    failuredetector.StreamID // 0 if the stream has no target gap
+	wentOn      atomic.Bool              // the last event came after a silence
 
 	mu        sync.Mutex
 	current   reservation
