Review case 3: a held request is sent again after all processes were killed

Cause: which requests crash runners is known in the memory of the instances only, and nothing of it is written to the store.

The driver tells kills of a case from ends of a process and ends what it started if it is stopped; its plain server can crash and start again.

--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -25,6 +26,8 @@
 	routerProgram = "target/mulberryhead"
 	// restartDelay is how long after its end a process is started again.
 	restartDelay = 300 * time.Millisecond
+	// killedTime is how long a machine is down whose processes the case has killed.
+	killedTime = 2 * time.Second
 	// readyTimeout bounds the start of a deployment.
 	readyTimeout  = 30 * time.Second
 	pollInterval  = 50 * time.Millisecond
@@ -69,10 +72,19 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	stopped bool
-	ends    int // by itself
+	killed  bool      // by the case, since the process was last started
+	started time.Time // last
+	ends    int       // by itself
 	done    chan struct{}
 }
 
+// inTouch reports whether the process has run for the whole time before now that the rules ask for.
+func (i *instance) inTouch(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return now.Sub(i.started) >= stableWindow
+}
+
 // ownEnds returns how often the process has ended by itself.
 func (i *instance) ownEnds() int {
 	i.mu.Lock()
@@ -103,6 +115,7 @@
 		i.command = exec.Command(routerProgram, "route", "--metrics-port", strconv.Itoa(i.metricsPort))
 		i.command.Env = append(os.Environ(), "MULBERRYHEAD_SETTINGS="+i.settings)
 		i.command.Stderr = &output
+		i.killed, i.started = false, time.Now()
 		err := i.command.Start()
 		i.mu.Unlock()
 		if err == nil {
@@ -110,16 +123,21 @@
 			err = i.command.Wait()
 		}
 		i.mu.Lock()
-		stopped := i.stopped
-		if !stopped {
+		stopped, killed := i.stopped, i.killed
+		if !stopped && !killed {
 			i.ends++
 		}
 		i.mu.Unlock()
-		if stopped {
+		switch {
+		case stopped:
 			return
+		case killed:
+			i.journal.printf("%s killed by the case", i.name)
+			time.Sleep(killedTime)
+		default:
+			i.journal.printf("%s ended by itself: %v\n%s", i.name, err, firstLines(output.String()))
+			time.Sleep(restartDelay)
 		}
-		i.journal.printf("%s ended by itself: %v\n%s", i.name, err, firstLines(output.String()))
-		time.Sleep(restartDelay)
 	}
 }
 
@@ -136,10 +154,12 @@
 	return strings.Join(kept, "")
 }
 
-// kill kills the process, which is started again.
-func (i *instance) kill() {
+// kill kills the process, which is started again. disruption is set if that is a disruption, and
+// not an end that the process has brought about.
+func (i *instance) kill(disruption bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.killed = disruption
 	if i.command != nil && i.command.Process != nil {
 		_ = i.command.Process.Signal(syscall.SIGKILL) // it may have ended
 	}
@@ -178,7 +198,18 @@
 	}
 	store := platformtest.NewStore()
 	store.Put(platform.ConfigurationTopic, platform.ConfigurationKey, configuration)
-	return &system{store: store, cluster: platformtest.NewCluster(store), journal: record, scratch: scratch}, nil
+	s := &system{store: store, cluster: platformtest.NewCluster(store), journal: record, scratch: scratch}
+	go s.closeOnSignal()
+	return s, nil
+}
+
+// closeOnSignal ends all that was started, and the driver, if that is told to stop.
+func (s *system) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	s.close()
+	os.Exit(exitNotRun)
 }
 
 // addInstances starts router processes in each zone, and waits until they say that they are ready.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -31,6 +31,9 @@
 var cases = map[string]func(record *journal, trouble bool) (broken bool, err error){
 	"1": malformedEntry,
 	"2": largeBodies,
+	"3": heldAfterKill,
+	"4": crashingRequest,
+	"5": startsUnderSameID,
 }
 
 func main() {
--- a/review/cases/malformedentry.go
+++ b/review/cases/malformedentry.go
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	method, body := http.MethodPost, io.Reader(strings.NewReader("batch 7"))
-	if path == statusPath {
+	if strings.HasPrefix(path, "/any/") {
 		method, body = http.MethodGet, nil
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+to.front+path, body)
--- a/review/cases/memory.go
+++ b/review/cases/memory.go
@@ -45,7 +45,7 @@
 	}
 	defer s.close()
 	for _, zone := range append(zones, zones[0]) {
-		if err := s.addPlainServer(zone); err != nil {
+		if _, err := s.addPlainServer(zone); err != nil {
 			return false, err
 		}
 	}
@@ -93,7 +93,7 @@
 		}
 		if used > memoryLimitMB*bytesPerKB {
 			i.journal.printf("%s uses %d kB, over the limit of %d MB: killed", i.name, used, memoryLimitMB)
-			i.kill()
+			i.kill(false)
 			time.Sleep(restartDelay)
 		}
 	}
--- a/review/cases/plainserver.go
+++ b/review/cases/plainserver.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"mulberryhead.org/mulberryhead/platform"
@@ -19,76 +20,172 @@
 	plainWork        = 15 * time.Millisecond
 	plainAnswerBytes = 800
 	plainHeartbeat   = 1200 * time.Millisecond
+	// plainDownTime is how long a crashed server is down, and plainEntryExpiry how long its entry
+	// outlives it: three heartbeats.
+	plainDownTime    = 4 * time.Second
+	plainEntryExpiry = 3 * plainHeartbeat
 )
 
 // plainServer is a sound runner of the plain service, as on the sheet of a small deployment: it
-// reads a request at once, works on a few at a time, queues some more and rejects the rest.
+// reads a request at once, works on a few at a time, queues some more and rejects the rest. After
+// a crash it is back at its address as a new incarnation, with a new id unless keepsID is set.
 type plainServer struct {
-	id       string
-	zone     string
-	listener net.Listener
-	server   *http.Server
-	slots    chan struct{}
-	places   chan struct{}
-	journal  *journal
-	stopped  chan struct{}
+	zone    string
+	address string
+	store   *platformtest.Store
+	journal *journal
+	// onRun is called with each request that begins to run. The server crashes if it returns true.
+	onRun func(r *http.Request, server string) (crashes bool)
+	// keepsID is set if the server starts again under the id that it had. It then writes its entry
+	// at its first heartbeat after the start.
+	keepsID bool
+
+	mu      sync.Mutex
+	current *plainIncarnation // nil while it is down
+	starts  int
+	closed  bool
+}
+
+// plainIncarnation is one start of a plainServer.
+type plainIncarnation struct {
+	owner *plainServer
+	id    string
+	// lateEntry is set if the entry is first written at the first heartbeat.
+	lateEntry bool
+	server    *http.Server
+	slots     chan struct{}
+	places    chan struct{}
+	stopped   chan struct{}
 }
 
-// addPlainServer starts a plainServer, which writes its entry until the system is closed.
-func (s *system) addPlainServer(zone string) error {
+// addPlainServer starts a plainServer that runs until the system is closed.
+func (s *system) addPlainServer(zone string) (*plainServer, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return fmt.Errorf("plain server: %w", err)
+		return nil, fmt.Errorf("plain server: %w", err)
 	}
 	p := &plainServer{
-		id: fmt.Sprintf("i-plain-%d", len(s.plainServers)+1), zone: zone, listener: listener, journal: s.journal,
-		slots: make(chan struct{}, plainSlots), places: make(chan struct{}, plainSlots+plainQueue), stopped: make(chan struct{}),
+		zone: zone, address: listener.Addr().String(), store: s.store, journal: s.journal,
+		onRun: func(*http.Request, string) bool { return false },
 	}
-	p.server = &http.Server{Handler: p}
 	s.plainServers = append(s.plainServers, p)
-	go func() { _ = p.server.Serve(listener) }() // returns once it is closed
-	go p.register(s.store, time.Now().UnixMilli())
-	return nil
+	p.start(listener)
+	return p, nil
+}
+
+// setHandling sets keepsID and onRun.
+func (p *plainServer) setHandling(keepsID bool, onRun func(r *http.Request, server string) (crashes bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepsID, p.onRun = keepsID, onRun
+}
+
+func (p *plainServer) start(listener net.Listener) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = listener.Close() // it was not used
+		return
+	}
+	p.starts++
+	_, port, _ := net.SplitHostPort(p.address) // the address of a listener has a port
+	id := fmt.Sprintf("i-%s-%d", port, p.starts)
+	if p.keepsID || p.starts == 1 {
+		id = "i-" + port
+	}
+	started := &plainIncarnation{
+		owner: p, id: id, lateEntry: p.keepsID && p.starts > 1, slots: make(chan struct{}, plainSlots),
+		places: make(chan struct{}, plainSlots+plainQueue), stopped: make(chan struct{}),
+	}
+	started.server = &http.Server{Handler: started}
+	p.current = started
+	p.journal.printf("server %s starts", started.id)
+	go func() { _ = started.server.Serve(listener) }() // returns once it is closed
+	go started.register(time.Now().UnixMilli())
+}
+
+// crash ends the incarnation without notice, and starts the next one after plainDownTime.
+func (p *plainServer) crash(crashed *plainIncarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current != crashed {
+		return
+	}
+	p.current = nil
+	p.journal.printf("server %s crashes", crashed.id)
+	crashed.stop()
+	if !p.keepsID {
+		time.AfterFunc(plainEntryExpiry, func() { p.store.Put(platform.BackendsTopic, crashed.id, nil) })
+	}
+	time.AfterFunc(plainDownTime, func() {
+		listener, err := net.Listen("tcp4", p.address)
+		if err != nil {
+			p.journal.printf("server at %s can't start again: %v", p.address, err)
+			return
+		}
+		p.start(listener)
+	})
 }
 
 func (p *plainServer) close() {
-	close(p.stopped)
-	_ = p.server.Close() // ends all connections
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.current != nil {
+		p.current.stop()
+	}
+}
+
+// stop closes the listener and all connections.
+func (i *plainIncarnation) stop() {
+	close(i.stopped)
+	_ = i.server.Close()
 }
 
 // register writes the entry at each heartbeat.
-func (p *plainServer) register(store *platformtest.Store, born int64) {
+func (i *plainIncarnation) register(born int64) {
 	ticker := time.NewTicker(plainHeartbeat)
 	defer ticker.Stop()
+	if i.lateEntry && !i.awaitTick(ticker) {
+		return
+	}
 	for sequence := 1; ; sequence++ {
 		entry, err := json.Marshal(map[string]any{
-			"service": platformtest.PlainService, "address": p.listener.Addr().String(), "zone": p.zone, "version": "v1",
+			"service": platformtest.PlainService, "address": i.owner.address, "zone": i.owner.zone, "version": "v1",
 			"slots": plainSlots, "state": "ready", "cold-remaining-ms": 0, "sequence": sequence, "born": born,
 		})
 		if err == nil {
-			store.Put(platform.BackendsTopic, p.id, entry)
+			i.owner.store.Put(platform.BackendsTopic, i.id, entry)
 		}
-		select {
-		case <-p.stopped:
+		if !i.awaitTick(ticker) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
 
+// awaitTick waits for the next heartbeat. It returns false if the incarnation has ended before.
+func (i *plainIncarnation) awaitTick(ticker *time.Ticker) bool {
+	select {
+	case <-i.stopped:
+		return false
+	case <-ticker.C:
+		return true
+	}
+}
+
 // ServeHTTP implements http.Handler.
-func (p *plainServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (i *plainIncarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
-	if expected := r.Header.Get(platform.HeaderExpectBackend); expected != "" && expected != p.id {
-		header.Set(platform.HeaderBackendID, p.id)
+	if expected := r.Header.Get(platform.HeaderExpectBackend); expected != "" && expected != i.id {
+		header.Set(platform.HeaderBackendID, i.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	id := r.Header.Get(platform.HeaderRequestID)
 	header.Set(platform.HeaderRequestID, id)
 	select {
-	case p.places <- struct{}{}:
-		defer func() { <-p.places }()
+	case i.places <- struct{}{}:
+		defer func() { <-i.places }()
 	default:
 		header.Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -98,9 +195,13 @@
 	if err != nil {
 		return
 	}
-	p.slots <- struct{}{}
-	defer func() { <-p.slots }()
-	p.journal.printf("server %s runs %s, %d bytes", p.id, id, size)
+	i.slots <- struct{}{}
+	defer func() { <-i.slots }()
+	i.owner.journal.printf("server %s runs %s, %d bytes", i.id, id, size)
+	if i.owner.onRun(r, i.id) {
+		i.owner.crash(i)
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(plainWork)
 	header.Set(platform.HeaderSignature, "signed-"+id)
 	_, _ = io.WriteString(w, strings.Repeat("b", plainAnswerBytes)) // fails only if the caller has left
