An incarnation is of a backend server, not of package poison

Statements of servers, relayed answers and evidence of ends all name one. The type moves to package deployment, the function becomes a method of Backend. No change of behaviour.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -6,7 +6,6 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/ejection"
-	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/serverlimit"
 )
 
@@ -151,7 +150,7 @@
 	if f.superseded(entry) {
 		return false
 	}
-	entry.Draining = entry.Draining || f.departed[poison.IncarnationOf(entry)]
+	entry.Draining = entry.Draining || f.departed[entry.Incarnation()]
 	f.restoreUnlisted(entry.ID)
 	known, ok := f.servers[entry.ID]
 	if !ok || !known.StartedAt.Equal(entry.StartedAt) {
@@ -183,11 +182,11 @@
 }
 
 // Serving reports whether an incarnation is listed and has not announced its shutdown.
-func (f *Fleet) Serving(incarnation poison.Incarnation) bool {
+func (f *Fleet) Serving(incarnation deployment.Incarnation) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[incarnation.Server]
-	return ok && !s.Draining && poison.IncarnationOf(s.Backend) == incarnation
+	return ok && !s.Draining && s.Backend.Incarnation() == incarnation
 }
 
 // RemoveReplaced removes a backend server after another one has responded at its
--- a/internal/backend/statement.go
+++ b/internal/backend/statement.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 // maxDeparted is the number of incarnations that are remembered as leaving. The list forgets an
@@ -12,9 +11,9 @@
 const maxDeparted = 4096
 
 // departed are the incarnations that have said that they leave, whatever becomes of their entries.
-type departed map[poison.Incarnation]bool
+type departed map[deployment.Incarnation]bool
 
-func (d departed) add(incarnation poison.Incarnation) {
+func (d departed) add(incarnation deployment.Incarnation) {
 	if len(d) >= maxDeparted {
 		clear(d)
 	}
@@ -51,7 +50,7 @@
 	leaves := statement.Leaving && !s.Draining
 	if leaves {
 		s.Draining = true
-		f.departed.add(poison.IncarnationOf(s.Backend))
+		f.departed.add(s.Backend.Incarnation())
 	}
 	return leaves
 }
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -5,7 +5,6 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/pipeline"
-	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 const (
@@ -61,7 +60,7 @@
 
 // MarkEnded keeps a stage whose process has ended out of every place of new paths, as this
 // instance has found.
-func (f *Fleet) MarkEnded(now time.Time, incarnation poison.Incarnation) {
+func (f *Fleet) MarkEnded(now time.Time, incarnation deployment.Incarnation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.running(incarnation); s != nil {
@@ -75,7 +74,7 @@
 
 // RecordPeerEnd records that another instance has found the process of a stage ended. As with
 // suspicions, the word of one instance alone does not keep a stage out of paths.
-func (f *Fleet) RecordPeerEnd(now time.Time, from deployment.InstanceID, incarnation poison.Incarnation) {
+func (f *Fleet) RecordPeerEnd(now time.Time, from deployment.InstanceID, incarnation deployment.Incarnation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.running(incarnation); s != nil {
@@ -84,9 +83,9 @@
 }
 
 // running returns the state of an incarnation, nil if it is not the one that is listed.
-func (f *Fleet) running(incarnation poison.Incarnation) *server {
+func (f *Fleet) running(incarnation deployment.Incarnation) *server {
 	s, ok := f.servers[incarnation.Server]
-	if !ok || poison.IncarnationOf(s.Backend) != incarnation {
+	if !ok || s.Backend.Incarnation() != incarnation {
 		return nil
 	}
 	return s
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -231,6 +231,17 @@
 	StartedAt time.Time
 }
 
+// Incarnation identifies one run of a backend server.
+type Incarnation struct {
+	Server    BackendID
+	StartedAt int64 // Unix milliseconds
+}
+
+// Incarnation returns the incarnation that an entry of the backend list describes.
+func (b Backend) Incarnation() Incarnation {
+	return Incarnation{Server: b.ID, StartedAt: b.StartedAt.UnixMilli()}
+}
+
 // Report is the state that a backend server of a model service reports on request.
 type Report struct {
 	Sequence    int64
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/poison"
 )
 
 const (
@@ -52,9 +51,9 @@
 func (e *endWatch) checkOthers(now time.Time, suspect suspectedEnd) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.DeleteFunc(e.othersCheckedAt, func(_ poison.Incarnation, at time.Time) bool { return now.Sub(at) >= othersCheckInterval })
+	maps.DeleteFunc(e.othersCheckedAt, func(_ deployment.Incarnation, at time.Time) bool { return now.Sub(at) >= othersCheckInterval })
 	for _, other := range suspect.others {
-		incarnation := poison.IncarnationOf(other)
+		incarnation := other.Incarnation()
 		if _, checked := e.othersCheckedAt[incarnation]; checked || e.tracker.Ended(incarnation) {
 			continue
 		}
@@ -81,7 +80,7 @@
 
 // checkEnd checks whether a backend server has ended, unless that is known.
 func (e *endWatch) checkEnd(ctx context.Context, suspect suspectedEnd) bool {
-	incarnation := poison.IncarnationOf(suspect.server)
+	incarnation := suspect.server.Incarnation()
 	e.mu.Lock()
 	if e.tracker.Ended(incarnation) {
 		e.mu.Unlock()
@@ -115,7 +114,7 @@
 // runCheck connects to a backend server. Where the connection is refused, the process has
 // ended; where it gets no response, the machine or the network may have failed.
 func (e *endWatch) runCheck(suspect suspectedEnd, done chan struct{}) {
-	incarnation := poison.IncarnationOf(suspect.server)
+	incarnation := suspect.server.Incarnation()
 	refused := e.refuses(suspect.server.Address)
 	if !refused {
 		time.Sleep(endCheckDelay)
@@ -170,7 +169,7 @@
 // recordEnd records that a backend server has ended, and blames this instance's attempts that
 // were in flight there.
 func (e *endWatch) recordEnd(now time.Time, suspect suspectedEnd) {
-	incarnation := poison.IncarnationOf(suspect.server)
+	incarnation := suspect.server.Incarnation()
 	e.mu.Lock()
 	at := e.endTime(now, suspect)
 	blamed := e.blamedFor(at, incarnation)
@@ -191,7 +190,7 @@
 	if !suspect.at.IsZero() {
 		return suspect.at
 	}
-	if seen := e.seenRunning(poison.IncarnationOf(suspect.server)); !seen.IsZero() {
+	if seen := e.seenRunning(suspect.server.Incarnation()); !seen.IsZero() {
 		return seen
 	}
 	return now
--- a/internal/gateway/endwatch.go
+++ b/internal/gateway/endwatch.go
@@ -39,14 +39,14 @@
 	attempts map[*watchedAttempt]bool
 	broken   []*watchedAttempt // that had not begun, the earliest first
 	// checks are under way. The channel of a check is closed when it is done.
-	checks map[poison.Incarnation]chan struct{}
+	checks map[deployment.Incarnation]chan struct{}
 	// brokeOff are the servers under check whose connections broke off in the middle of a stream.
 	brokeOff map[deployment.BackendID]bool
 	// othersCheckedAt is when a stage was last checked since another one of its path had ended.
-	othersCheckedAt map[poison.Incarnation]time.Time
+	othersCheckedAt map[deployment.Incarnation]time.Time
 	// lastSeen is when a backend server last was on the path of an event, as far as the
 	// attempts have ended.
-	lastSeen  map[poison.Incarnation]time.Time
+	lastSeen  map[deployment.Incarnation]time.Time
 	changedAt time.Time // when the evidence last changed
 	heldKeys  int
 }
@@ -54,8 +54,8 @@
 func newEndWatch(config *Config, transport *backend.Transport) *endWatch {
 	return &endWatch{
 		config: config, transport: transport, tracker: poison.NewTracker(trialJitter(config.Settings.Instance)),
-		attempts: map[*watchedAttempt]bool{}, checks: map[poison.Incarnation]chan struct{}{},
-		lastSeen: map[poison.Incarnation]time.Time{}, othersCheckedAt: map[poison.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
+		attempts: map[*watchedAttempt]bool{}, checks: map[deployment.Incarnation]chan struct{}{},
+		lastSeen: map[deployment.Incarnation]time.Time{}, othersCheckedAt: map[deployment.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
 		onPeerEnd: func(time.Time, deployment.BackendID) {},
 	}
 }
@@ -115,10 +115,10 @@
 		return
 	}
 	if len(e.lastSeen) >= maxServersSeen {
-		maps.DeleteFunc(e.lastSeen, func(_ poison.Incarnation, at time.Time) bool { return now.Sub(at) > brokenMemory })
+		maps.DeleteFunc(e.lastSeen, func(_ deployment.Incarnation, at time.Time) bool { return now.Sub(at) > brokenMemory })
 	}
 	for _, server := range a.servers {
-		incarnation := poison.IncarnationOf(server)
+		incarnation := server.Incarnation()
 		if last.After(e.lastSeen[incarnation]) {
 			e.lastSeen[incarnation] = *last
 		}
@@ -126,7 +126,7 @@
 }
 
 // seenRunning returns when a backend server was last seen running, zero if that is unknown.
-func (e *endWatch) seenRunning(incarnation poison.Incarnation) time.Time {
+func (e *endWatch) seenRunning(incarnation deployment.Incarnation) time.Time {
 	seen := e.lastSeen[incarnation]
 	for a := range e.attempts {
 		if last := a.lastEvent.Load(); last != nil && last.After(seen) && a.uses(incarnation) {
@@ -148,7 +148,7 @@
 }
 
 // blamedFor returns the attempts that were in flight on a backend server when that ended.
-func (e *endWatch) blamedFor(at time.Time, incarnation poison.Incarnation) []poison.Blamed {
+func (e *endWatch) blamedFor(at time.Time, incarnation deployment.Incarnation) []poison.Blamed {
 	var blamed []poison.Blamed
 	for a := range e.attempts {
 		if !a.begun && a.uses(incarnation) && !e.waitedAt(at, a, incarnation) {
@@ -165,9 +165,9 @@
 
 // waitedAt reports whether an attempt waited, when a backend server ended, for another one
 // that had ended before. Such an attempt could not begin.
-func (e *endWatch) waitedAt(at time.Time, a *watchedAttempt, ended poison.Incarnation) bool {
+func (e *endWatch) waitedAt(at time.Time, a *watchedAttempt, ended deployment.Incarnation) bool {
 	for _, server := range a.servers {
-		other := poison.IncarnationOf(server)
+		other := server.Incarnation()
 		earlier, ok := e.tracker.EndedAt(other)
 		if ok && other != ended && earlier.Before(at.Add(-endTimeSlack)) {
 			return true
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -80,7 +80,7 @@
 	now := time.Now()
 	for i := range 3 {
 		g.MergePoisonEvidence(now, "peer", poison.Evidence{Ends: []poison.End{{
-			Incarnation: poison.Incarnation{Server: deployment.BackendID(fmt.Sprintf("i-%d", i))},
+			Incarnation: deployment.Incarnation{Server: deployment.BackendID(fmt.Sprintf("i-%d", i))},
 			Age:         time.Duration(2*i) * time.Second,
 			Blamed:      []poison.Blamed{{Attempt: poison.Attempt(i), Keys: accepted.keys}},
 		}}})
@@ -111,7 +111,7 @@
 	ended := func(server deployment.Backend) bool {
 		ends.mu.Lock()
 		defer ends.mu.Unlock()
-		return ends.tracker.Ended(poison.IncarnationOf(server))
+		return ends.tracker.Ended(server.Incarnation())
 	}
 	checking := func() bool {
 		ends.mu.Lock()
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -159,7 +159,7 @@
 	var ends []poison.End
 	for i := range 4 {
 		ends = append(ends, poison.End{
-			Incarnation: poison.Incarnation{Server: deployment.BackendID(rune('a' + i)), StartedAt: 1}, Age: time.Duration(4-i) * time.Second,
+			Incarnation: deployment.Incarnation{Server: deployment.BackendID(rune('a' + i)), StartedAt: 1}, Age: time.Duration(4-i) * time.Second,
 			Blamed: []poison.Blamed{{Attempt: poison.Attempt(i + 1), Keys: c.keys}},
 		})
 	}
--- a/internal/gateway/watchedattempt.go
+++ b/internal/gateway/watchedattempt.go
@@ -33,9 +33,9 @@
 	return poison.Attempt(hash.Sum64())
 }
 
-func (a *watchedAttempt) uses(incarnation poison.Incarnation) bool {
+func (a *watchedAttempt) uses(incarnation deployment.Incarnation) bool {
 	for _, server := range a.servers {
-		if poison.IncarnationOf(server) == incarnation {
+		if server.Incarnation() == incarnation {
 			return true
 		}
 	}
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -27,7 +27,7 @@
 		LoadUpdates{Updates: []LoadUpdate{{Runner: "r", Queued: 1}}}, CrashNotice{Fingerprint: 7, Runner: "r"},
 		PoisonEvidence{Evidence: poison.Evidence{
 			Ends: []poison.End{{
-				Incarnation: poison.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
+				Incarnation: deployment.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
 				Blamed: []poison.Blamed{{Attempt: 3, Keys: []poison.Key{1, 2}}},
 			}},
 			Begun:  []poison.KeyAge{{Key: 1, Age: time.Second}},
@@ -86,7 +86,7 @@
 		StageObserved{Backend: "b", What: backend.StageAccepted},
 		PoisonEvidence{Evidence: poison.Evidence{
 			Ends: []poison.End{{
-				Incarnation: poison.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
+				Incarnation: deployment.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
 				Blamed: []poison.Blamed{{Attempt: 3, Keys: []poison.Key{1, 2}}},
 			}},
 			Begun:  []poison.KeyAge{{Key: 1, Age: 1500 * time.Millisecond}},
--- a/internal/peer/poisoncodec.go
+++ b/internal/peer/poisoncodec.go
@@ -57,7 +57,7 @@
 	evidence := poison.Evidence{Begun: keyAgesFromWire(wire.Begun), Trials: keyAgesFromWire(wire.Trials)}
 	for _, w := range wire.Ends {
 		end := poison.End{
-			Incarnation: poison.Incarnation{Server: deployment.BackendID(w.Server), StartedAt: w.StartedAt},
+			Incarnation: deployment.Incarnation{Server: deployment.BackendID(w.Server), StartedAt: w.StartedAt},
 			Age:         ageFromWire(w.AgeMillis), Answered: w.Answered, AnsweredAge: ageFromWire(w.AnsweredMillis),
 		}
 		for _, blamed := range w.Blamed {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -61,17 +61,6 @@
 // Attempt identifies one send of a request along one path.
 type Attempt uint64
 
-// Incarnation identifies one run of a backend server.
-type Incarnation struct {
-	Server    deployment.BackendID
-	StartedAt int64 // Unix milliseconds
-}
-
-// IncarnationOf returns the incarnation that an entry of the backend list describes.
-func IncarnationOf(server deployment.Backend) Incarnation {
-	return Incarnation{Server: server.ID, StartedAt: server.StartedAt.UnixMilli()}
-}
-
 // Blamed is an attempt that was in flight on a server when that ended, and that had not
 // begun to be answered. Its keys are ordered from the most general to the most specific, and
 // the last one is that of the request as a whole.
@@ -82,7 +71,7 @@
 
 // End is the end of a server, as instances exchange it.
 type End struct {
-	Incarnation Incarnation
+	Incarnation deployment.Incarnation
 	Age         time.Duration // since the end
 	// Answered is set once an answer to any request has begun after the end, AnsweredAge ago.
 	Answered    bool
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -25,8 +25,8 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-func server(number int) Incarnation {
-	return Incarnation{Server: deployment.BackendID(fmt.Sprintf("i-%d", number)), StartedAt: int64(number)}
+func server(number int) deployment.Incarnation {
+	return deployment.Incarnation{Server: deployment.BackendID(fmt.Sprintf("i-%d", number)), StartedAt: int64(number)}
 }
 
 // attemptOf returns an attempt of its own with some keys and its own request key.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
 )
 
 const (
@@ -37,14 +39,14 @@
 	// jitter from 0 to 1 differs between instances, so that they don't try at the same time.
 	jitter float64
 
-	ends     map[Incarnation]*end
+	ends     map[deployment.Incarnation]*end
 	begun    map[Key]time.Time // keys of ends
 	trials   map[Key]time.Time
 	ownBegun map[Key]time.Time
 	// lastBegun is when the last answer to any request began here, and unanswered holds the
 	// ends after which none is known to have begun.
 	lastBegun  time.Time
-	unanswered map[Incarnation]bool
+	unanswered map[deployment.Incarnation]bool
 
 	verdicts verdicts
 }
@@ -53,13 +55,13 @@
 // differ between instances.
 func NewTracker(jitter float64) *Tracker {
 	return &Tracker{
-		jitter: jitter, ends: map[Incarnation]*end{}, begun: map[Key]time.Time{}, trials: map[Key]time.Time{},
-		ownBegun: map[Key]time.Time{}, unanswered: map[Incarnation]bool{},
+		jitter: jitter, ends: map[deployment.Incarnation]*end{}, begun: map[Key]time.Time{}, trials: map[Key]time.Time{},
+		ownBegun: map[Key]time.Time{}, unanswered: map[deployment.Incarnation]bool{},
 	}
 }
 
 // EndedAt returns when an incarnation ended, and false if it is not known to have.
-func (t *Tracker) EndedAt(incarnation Incarnation) (time.Time, bool) {
+func (t *Tracker) EndedAt(incarnation deployment.Incarnation) (time.Time, bool) {
 	known, ok := t.ends[incarnation]
 	if !ok {
 		return time.Time{}, false
@@ -68,14 +70,14 @@
 }
 
 // Ended reports whether an incarnation is known to have ended.
-func (t *Tracker) Ended(incarnation Incarnation) bool {
+func (t *Tracker) Ended(incarnation deployment.Incarnation) bool {
 	_, ok := t.ends[incarnation]
 	return ok
 }
 
 // RecordEnd records that a server ended at a time, with the attempts of this instance that
 // are to be blamed. It returns what is new, to be sent to the other instances.
-func (t *Tracker) RecordEnd(now, at time.Time, incarnation Incarnation, blamed []Blamed) Evidence {
+func (t *Tracker) RecordEnd(now, at time.Time, incarnation deployment.Incarnation, blamed []Blamed) Evidence {
 	return t.Merge(now, Evidence{Ends: []End{{Incarnation: incarnation, Age: now.Sub(at), Blamed: blamed}}})
 }
 
@@ -279,7 +281,7 @@
 }
 
 // wireEnd returns an end without the attempts that are cleared.
-func (t *Tracker) wireEnd(now time.Time, incarnation Incarnation) End {
+func (t *Tracker) wireEnd(now time.Time, incarnation deployment.Incarnation) End {
 	known := t.ends[incarnation]
 	e := End{Incarnation: incarnation, Age: now.Sub(known.at), Answered: !known.answered.IsZero()}
 	if e.Answered {
@@ -304,8 +306,8 @@
 }
 
 // incarnationsByTime returns the incarnations that ended, the earliest first.
-func (t *Tracker) incarnationsByTime() []Incarnation {
-	return slices.SortedFunc(maps.Keys(t.ends), func(a, b Incarnation) int {
+func (t *Tracker) incarnationsByTime() []deployment.Incarnation {
+	return slices.SortedFunc(maps.Keys(t.ends), func(a, b deployment.Incarnation) int {
 		return cmp.Or(t.ends[a].at.Compare(t.ends[b].at), cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
 }
