A server that refused a connection here and ran a request at a peer counts as one that ran it

Callers: a request that may be repeated and fails at its servers ran at more of them than the route's max-attempts allows, at instances that have lost their links. Cause: the origin left out of the servers that ran a relayed request those that it had tried itself, also if it had not connected. It counted one run in place of two, and relayed the request again. Now those that ran it are the ones that count, whatever was tried.

--- a/internal/gateway/bufferedrelay.go
+++ b/internal/gateway/bufferedrelay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
@@ -99,8 +100,8 @@
 func (b *bufferedRequest) recordRelayed(ran []deployment.BackendID) {
 	known := len(b.servers)
 	for _, id := range ran {
-		if !b.tried[id] {
-			b.tried[id] = true
+		b.tried[id] = true // perhaps it was before, without a connection
+		if !slices.Contains(b.servers, id) {
 			b.servers = append(b.servers, id)
 		}
 	}
