--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -41,6 +41,7 @@
 
 // responded is a complete response.
 type responded struct {
+	server deployment.Incarnation // whose response it is, zero if a peer did not tell
 	status int
 	header http.Header
 	body   []byte
@@ -71,7 +72,7 @@
 	switch result := b.run(ctx).(type) {
 	case responded:
 		copyResponseHeader(w.Header(), result.header)
-		c.markAnswered(w.Header(), b.servers)
+		c.markAnswered(w.Header(), result.server, b.servers)
 		g.writeResponse(w, c, result)
 	case notRun:
 		g.respondError(w, c, notRunResponse(result.cause))
@@ -285,7 +286,7 @@
 	if err != nil {
 		return unknown{cause: err}
 	}
-	return responded{status: response.StatusCode, header: response.Header, body: body}
+	return responded{server: inFlight.Backend.Incarnation(), status: response.StatusCode, header: response.Header, body: body}
 }
 
 // notExecuted reports whether a backend server rejected the request without executing it.
--- a/internal/gateway/bufferedrelay.go
+++ b/internal/gateway/bufferedrelay.go
@@ -84,7 +84,7 @@
 	}
 	defer answer.close()
 	b.recordRelayed(answer.Ran)
-	b.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.Ran)
+	b.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.By)
 	body, err := io.ReadAll(io.LimitReader(answer.Response.Body, maxResponseSize+1))
 	if err == nil {
 		err = validateResponse(&http.Response{StatusCode: answer.Response.Status, Header: answer.Response.Header}, len(body))
@@ -92,7 +92,7 @@
 	if err != nil {
 		return unknown{cause: err}
 	}
-	return responded{status: answer.Response.Status, header: answer.Response.Header, body: body}
+	return responded{server: answer.By, status: answer.Response.Status, header: answer.Response.Header, body: body}
 }
 
 // recordRelayed records the servers that may have run the request at a peer, the last of which
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -102,11 +102,12 @@
 	resumed  bool                   // the client has a part of the response
 }
 
-// markAnswered marks a response to a relayed request as that of a backend server. It is called
-// before the header is written.
-func (c *call) markAnswered(header http.Header, ran []deployment.BackendID) {
+// markAnswered marks a response to a relayed request as that of a backend server, one of those that ran
+// the request. It is called before the header is written.
+func (c *call) markAnswered(header http.Header, by deployment.Incarnation, ran []deployment.BackendID) {
 	if c.relayed != nil {
 		relay.SetAnswered(header, ran)
+		relay.SetAnsweredBy(header, by)
 	}
 }
 
--- a/internal/gateway/statement.go
+++ b/internal/gateway/statement.go
@@ -50,12 +50,8 @@
 	}
 }
 
-// recordRelayedStatement records what the response of a relayed request, which the last of some
-// servers gave, says of that one. The time that it wants is told to the peer, and not here.
-func (g *Gateway) recordRelayedStatement(now time.Time, header http.Header, ran []deployment.BackendID) {
-	if len(ran) == 0 {
-		return
-	}
-	statement := platform.ParseStatement(now, http.StatusOK, header)
-	g.recordStatement(now, statement, ran[len(ran)-1])
+// recordRelayedStatement records what the response of a relayed request says of the backend server that
+// gave it. The time that it wants is told to the peer, and not here.
+func (g *Gateway) recordRelayedStatement(now time.Time, header http.Header, by deployment.Incarnation) {
+	g.recordStatement(now, platform.ParseStatement(now, http.StatusOK, header), by.Server)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,7 +71,9 @@
 	longestPause     time.Duration // between two events
 	notRunCause      error         // why no attempt has run, nil once one may have
 	brokenBy         breakCause    // of the last attempt
-	next             pathSuccessor // for which the last attempt was left, nil if none
+	// answeredBy is the first stage whose response the current attempt returns.
+	answeredBy deployment.Incarnation
+	next       pathSuccessor // for which the last attempt was left, nil if none
 }
 
 // streamOutcome is how a stream ended for the client.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -40,6 +40,7 @@
 	outcome := streamComplete
 	if err == nil {
 		countBody(response, received)
+		s.answeredBy = reserved.inFlight.Backend.Incarnation()
 		outcome, err = s.handleResponse(response, monitored, started)
 		response.Close()
 	} else {
@@ -314,7 +315,7 @@
 		return 0, fmt.Errorf("%w: status %d", errUnsigned, response.StatusCode)
 	}
 	copyResponseHeader(s.writer.Header(), response.Header)
-	s.call.markAnswered(s.writer.Header(), s.ranServers())
+	s.call.markAnswered(s.writer.Header(), s.answeredBy, s.ranServers())
 	s.writer.WriteHeader(response.StatusCode)
 	if _, err := s.writer.Write(body); err != nil {
 		return 0, errors.Join(errWrite, err)
@@ -373,7 +374,7 @@
 	s.headerWritten = true
 	s.mu.Unlock()
 	copyResponseHeader(s.writer.Header(), response.Header)
-	s.call.markAnswered(s.writer.Header(), s.ranServers())
+	s.call.markAnswered(s.writer.Header(), s.answeredBy, s.ranServers())
 	s.writer.WriteHeader(response.StatusCode)
 	s.gateway.Metrics.observeFirstEvent(s.call, time.Now())
 }
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -209,7 +209,8 @@
 	defer answer.close()
 	defer context.AfterFunc(ctx, answer.Response.Close)()
 	s.recordRelayed(answer.Ran)
-	s.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.Ran)
+	s.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.By)
+	s.answeredBy = answer.By
 	response := &backend.Response{Response: &http.Response{
 		StatusCode: answer.Response.Status, Header: answer.Response.Header, Body: io.NopCloser(answer.Response.Body),
 	}}
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -22,7 +22,8 @@
 	headerOutcome    = headerPrefix + "outcome"
 	headerReason     = headerPrefix + "reason"
 	headerRetryAfter = headerPrefix + "retry-after-ms"
-	headerRan        = headerPrefix + "ran" // one for each first stage, escaped
+	headerRan        = headerPrefix + "ran"         // one for each first stage, escaped
+	headerAnsweredBy = headerPrefix + "answered-by" // escaped, "@" and when it started in Unix milliseconds
 )
 
 // firstHop is the only number of hops that a Handler accepts.
@@ -60,6 +61,24 @@
 	setOutcome(header, outcomeAnswered, ran)
 }
 
+// SetAnsweredBy names the backend server, of a model service the first stage, whose response it is. It
+// is called after SetAnswered.
+func SetAnsweredBy(header http.Header, server deployment.Incarnation) {
+	header.Set(headerAnsweredBy, url.QueryEscape(string(server.Server))+"@"+strconv.FormatInt(server.StartedAt, 10))
+}
+
+// parseAnsweredBy returns the zero Incarnation if the peer, perhaps of an earlier build, names no valid
+// one.
+func parseAnsweredBy(header http.Header) deployment.Incarnation {
+	escaped, started, _ := strings.Cut(header.Get(headerAnsweredBy), "@")
+	id, err := url.QueryUnescape(escaped)
+	millis, errStarted := strconv.ParseInt(started, 10, 64)
+	if err != nil || errStarted != nil {
+		return deployment.Incarnation{}
+	}
+	return deployment.Incarnation{Server: deployment.BackendID(id), StartedAt: millis}
+}
+
 // WriteNotRun responds that no backend server has run the request and none will. retryAfter
 // is when this instance may accept it, 0 for no time.
 func WriteNotRun(w http.ResponseWriter, reason Reason, retryAfter time.Duration) {
@@ -100,7 +119,7 @@
 	}
 	switch outcomes[0] {
 	case outcomeAnswered:
-		return Answered{Ran: ran}
+		return Answered{Ran: ran, By: parseAnsweredBy(header)}
 	case outcomeNotRun:
 		return parseNotRun(header)
 	case outcomeUnknown:
--- a/internal/relay/hop_test.go
+++ b/internal/relay/hop_test.go
@@ -118,12 +118,14 @@
 			w.Header()["Date"] = nil
 			w.Header()["Content-Type"] = nil
 			SetAnswered(w.Header(), []deployment.BackendID{"s,1", "s 2"})
+			SetAnsweredBy(w.Header(), deployment.Incarnation{Server: "s@1", StartedAt: 17})
 			w.WriteHeader(statusOf(t, c.status))
 			_, _ = w.Write(c.body)
 		})
 		answered := answer(t, send(context.Background(), peer, request))
 		assertSame(t, <-served, request)
 		assert.DeepEqual(t, answered.Ran, []deployment.BackendID{"s,1", "s 2"})
+		assert.DeepEqual(t, answered.By, deployment.Incarnation{Server: "s@1", StartedAt: 17})
 		assert.Equal(t, answered.Response.Status, statusOf(t, c.status))
 		body, err := io.ReadAll(answered.Response.Body)
 		assert.NilError(t, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,6 +103,7 @@
 // still break off.
 type Answered struct {
 	Ran      []deployment.BackendID // first stages that may have run the request
+	By       deployment.Incarnation // whose response it is, zero if the peer does not tell
 	Response *Response
 }
 
