--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -71,7 +71,7 @@
 // NewFleet returns an empty fleet of an instance in a zone.
 func NewFleet(zone deployment.Zone) *Fleet {
 	return &Fleet{
-		zone: zone, peerLimits: toldLimits{}, zoneLimits: toldLimits{}, departed: departed{},
+		zone: zone, peerLimits: toldLimits{}, zoneLimits: toldLimits{}, departed: newDeparted(),
 		servers: map[deployment.BackendID]*server{}, unlisted: map[deployment.BackendID]unlistedServer{}, load: newSharedLoad(),
 	}
 }
@@ -150,15 +150,17 @@
 	if f.superseded(entry) {
 		return false
 	}
-	entry.Draining = entry.Draining || f.departed[entry.Incarnation()]
+	if entry.Draining {
+		f.departed.add(entry.Incarnation())
+	}
+	// An incarnation that leaves does not come back, whatever an older copy of the list says.
+	entry.Draining = f.departed.has(entry.Incarnation())
 	f.restoreUnlisted(entry.ID)
 	known, ok := f.servers[entry.ID]
 	if !ok || !known.StartedAt.Equal(entry.StartedAt) {
 		f.servers[entry.ID] = &server{Backend: entry}
 		return true
 	}
-	// An incarnation that leaves does not come back, whatever an older copy of the list says.
-	entry.Draining = entry.Draining || known.Draining
 	changed := known.Backend != entry || !known.missingSince.IsZero()
 	known.Backend = entry
 	known.missingSince = time.Time{}
--- a/internal/backend/statement.go
+++ b/internal/backend/statement.go
@@ -10,49 +10,81 @@
 // incarnation long before as many others have left.
 const maxDeparted = 4096
 
-// departed are the incarnations that have said that they leave, whatever becomes of their entries.
-type departed map[deployment.Incarnation]bool
+// departed are the incarnations that leave, as they or the list have said, whatever becomes of their
+// entries.
+type departed struct {
+	numbers map[deployment.Incarnation]int // in the order in which they were added
+	next    int
+}
+
+func newDeparted() departed { return departed{numbers: map[deployment.Incarnation]int{}} }
+
+func (d *departed) has(incarnation deployment.Incarnation) bool {
+	_, ok := d.numbers[incarnation]
+	return ok
+}
+
+// add reports whether the incarnation was not known to leave.
+func (d *departed) add(incarnation deployment.Incarnation) bool {
+	if d.has(incarnation) {
+		return false
+	}
+	if len(d.numbers) >= maxDeparted {
+		d.removeOldest()
+	}
+	d.numbers[incarnation] = d.next
+	d.next++
+	return true
+}
 
-func (d departed) add(incarnation deployment.Incarnation) {
-	if len(d) >= maxDeparted {
-		clear(d)
+func (d *departed) removeOldest() {
+	for incarnation, number := range d.numbers {
+		if number == d.next-len(d.numbers) {
+			delete(d.numbers, incarnation)
+			return
+		}
 	}
-	d[incarnation] = true
 }
 
-// RecordStatement records what a backend server says of itself. One that leaves gets nothing new
-// until another incarnation is in its place, also while the list says otherwise; one that wants no
-// requests gets none until then. It reports whether the server was not known to leave.
-func (f *Fleet) RecordStatement(now time.Time, id deployment.BackendID, statement deployment.ServerStatement) bool {
+// RecordStatement records what a backend server says of itself, whether or not it is listed. One that
+// leaves gets nothing new until another incarnation is in its place, also while the list says otherwise;
+// one that wants no requests gets none until then. It reports whether the server was not known to leave.
+func (f *Fleet) RecordStatement(now time.Time, incarnation deployment.Incarnation, statement deployment.ServerStatement) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.recordStatement(now, f.servers[id], statement)
+	return f.recordStatement(now, incarnation, statement)
 }
 
-// RecordStatementAt does so for the backend server at an address, and returns its id.
-func (f *Fleet) RecordStatementAt(now time.Time, address deployment.Address, statement deployment.ServerStatement) (deployment.BackendID, bool) {
+// RecordStatementAt does so for the backend server at an address, and returns its incarnation, the zero
+// one if none is known there.
+func (f *Fleet) RecordStatementAt(now time.Time, address deployment.Address, statement deployment.ServerStatement) (deployment.Incarnation, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.byAddress(address)
 	if s == nil {
-		return "", false
+		s = f.unlistedByAddress(address)
+	}
+	if s == nil {
+		return deployment.Incarnation{}, false
 	}
-	return s.ID, f.recordStatement(now, s, statement)
+	return s.Incarnation(), f.recordStatement(now, s.Incarnation(), statement)
 }
 
-func (f *Fleet) recordStatement(now time.Time, s *server, statement deployment.ServerStatement) bool {
-	if s == nil {
-		return false
+func (f *Fleet) recordStatement(now time.Time, incarnation deployment.Incarnation, statement deployment.ServerStatement) bool {
+	s := f.running(incarnation)
+	if unlisted, ok := f.unlisted[incarnation.Server]; ok && s == nil && unlisted.Incarnation() == incarnation {
+		s = unlisted.server
 	}
-	if statement.Wait > 0 {
+	if statement.Wait > 0 && s != nil {
 		s.waitUntil = later(s.waitUntil, now.Add(statement.Wait))
 	}
-	leaves := statement.Leaving && !s.Draining
-	if leaves {
+	if !statement.Leaving {
+		return false
+	}
+	if s != nil {
 		s.Draining = true
-		f.departed.add(s.Backend.Incarnation())
 	}
-	return leaves
+	return f.departed.add(incarnation)
 }
 
 // waits reports whether the server wants no requests.
--- a/internal/backend/unlisted.go
+++ b/internal/backend/unlisted.go
@@ -51,3 +51,12 @@
 	}
 	return list
 }
+
+func (f *Fleet) unlistedByAddress(address deployment.Address) *server {
+	for _, unlisted := range f.unlisted {
+		if unlisted.Address == address {
+			return unlisted.server
+		}
+	}
+	return nil
+}
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -274,7 +274,7 @@
 	if backendReplaced(response.Response, inFlight.Backend.ID) {
 		b.gateway.Fleet.RemoveReplaced(inFlight.Backend.ID)
 	} else {
-		b.gateway.recordStatements(time.Now(), response.Response, inFlight.Backend.ID)
+		b.gateway.recordStatements(time.Now(), b.call, response.Response, inFlight.Backend.Incarnation())
 	}
 	if notExecuted(response.Response) {
 		return notRun{cause: fmt.Errorf("%w: status %d", errNotExecuted, response.StatusCode)}
--- a/internal/gateway/bufferedrelay.go
+++ b/internal/gateway/bufferedrelay.go
@@ -84,7 +84,7 @@
 	}
 	defer answer.close()
 	b.recordRelayed(answer.Ran)
-	b.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.By)
+	b.gateway.recordRelayedStatement(time.Now(), b.call, answer)
 	body, err := io.ReadAll(io.LimitReader(answer.Response.Body, maxResponseSize+1))
 	if err == nil {
 		err = validateResponse(&http.Response{StatusCode: answer.Response.Status, Header: answer.Response.Header}, len(body))
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -212,7 +212,7 @@
 func (s *stream) handleResponse(response *backend.Response, monitored *monitoredStream, sent time.Time) (streamOutcome, error) {
 	path := monitored.path()
 	if !backendReplaced(response.Response, path.IDs[0]) {
-		s.gateway.recordStatements(time.Now(), response.Response, path.IDs[0])
+		s.gateway.recordStatements(time.Now(), s.call, response.Response, s.answeredBy)
 	}
 	if notExecuted(response.Response) {
 		return 0, s.recordRejection(response, path, sent)
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -209,7 +209,7 @@
 	defer answer.close()
 	defer context.AfterFunc(ctx, answer.Response.Close)()
 	s.recordRelayed(answer.Ran)
-	s.gateway.recordRelayedStatement(time.Now(), answer.Response.Header, answer.By)
+	s.gateway.recordRelayedStatement(time.Now(), s.call, answer)
 	s.answeredBy = answer.By
 	response := &backend.Response{Response: &http.Response{
 		StatusCode: answer.Response.Status, Header: answer.Response.Header, Body: io.NopCloser(answer.Response.Body),
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -92,8 +92,8 @@
 // recordStatement records what a backend server has said of itself in a report, an order's response
 // or a health check.
 func (r *Router) recordStatement(address deployment.Address, statement deployment.ServerStatement) {
-	if id, leaves := r.fleet.RecordStatementAt(time.Now(), address, statement); leaves {
-		r.logger.Info("server leaves", zap.String("backend", string(id)), zap.String("source", "call"))
+	if by, leaves := r.fleet.RecordStatementAt(time.Now(), address, statement); leaves {
+		r.logger.Info("server leaves", zap.String("backend", string(by.Server)), zap.Int64("born", by.StartedAt), zap.String("source", "call"))
 	}
 }
 
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -113,6 +113,10 @@
 //	rejected-at-once         checks that, from 3 s after each cut began, all requests were
 //	                         rejected, with the time after which to come back and at once
 //	direct a                 waits until a router sends all its requests to the servers itself
+//	leaves 3                 makes a server say in all its responses that it leaves, while its entry
+//	                         stays; "first" and a zone name those that hold the zone's first layer
+//	left-alone               checks that servers got no request of the steady load from routers that
+//	                         had returned such a response (see checkLeftAlone)
 //
 // Cuts are the faults of links to more than one server. The faults of a link are hang (bytes and new connections wait), reset (connections are
 // reset, new ones refused), closed (connections live on, new ones are refused) and
@@ -185,8 +189,10 @@
 	id         string
 	status     int
 	retryAfter string
-	err        error // why the response is not the complete, correct one
-	events     int   // that have arrived, of a stream
+	err        error     // why the response is not the complete, correct one
+	events     int       // that have arrived, of a stream
+	leaver     string    // the server that said in the response that it leaves, empty if none did
+	answeredAt time.Time // when the header of the response arrived
 }
 
 func newScriptRunner(t *testing.T) *scriptRunner {
@@ -331,6 +337,10 @@
 		sr.checkRejectedAtOnce()
 	case "direct":
 		sr.await("direct", func() bool { return sr.servesDirectly(fields[1]) })
+	case "leaves":
+		sr.leave(fields[1:])
+	case "left-alone":
+		sr.checkLeftAlone()
 	default:
 		return false
 	}
@@ -559,6 +569,10 @@
 	defer func() { _ = response.Body.Close() }()
 	got.status = response.StatusCode
 	got.retryAfter = response.Header.Get(platform.HeaderRetryAfter)
+	got.answeredAt = time.Now()
+	if response.Header.Get(platform.HeaderLeaving) != "" {
+		got.leaver = platformtest.SignedBy(response.Header.Get(platform.HeaderSignature))
+	}
 	data, err := io.ReadAll(response.Body)
 	got.events = bytes.Count(data, []byte("\n\n"))
 	got.err = checkResponse(route, body, response, data, err)
