--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -66,6 +66,7 @@
 	peerLimits toldLimits
 	zoneLimits toldLimits
 	departed   departed
+	untold     []deployment.Incarnation // that have told this instance, and no other yet, that they leave
 }
 
 // NewFleet returns an empty fleet of an instance in a zone.
--- a/internal/backend/statement.go
+++ b/internal/backend/statement.go
@@ -71,22 +71,79 @@
 }
 
 func (f *Fleet) recordStatement(now time.Time, incarnation deployment.Incarnation, statement deployment.ServerStatement) bool {
-	s := f.running(incarnation)
-	if unlisted, ok := f.unlisted[incarnation.Server]; ok && s == nil && unlisted.Incarnation() == incarnation {
-		s = unlisted.server
-	}
+	s := f.state(incarnation)
 	if statement.Wait > 0 && s != nil {
 		s.waitUntil = later(s.waitUntil, now.Add(statement.Wait))
 	}
-	if !statement.Leaving {
+	if !statement.Leaving || !f.recordDeparture(incarnation, s) {
 		return false
 	}
+	f.untold = append(f.untold, incarnation)
+	return true
+}
+
+// recordDeparture records that an incarnation leaves, with its state, nil if it has none. It reports
+// whether that is new.
+func (f *Fleet) recordDeparture(incarnation deployment.Incarnation, s *server) bool {
 	if s != nil {
 		s.Draining = true
 	}
 	return f.departed.add(incarnation)
 }
 
+// TakeUntold returns the incarnations that have told this instance that they leave since the last call.
+// The caller must tell the other instances.
+func (f *Fleet) TakeUntold() []deployment.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	untold := f.untold
+	f.untold = nil
+	return untold
+}
+
+// RecordPeerDepartures records the incarnations that leave, as another instance has told, and returns
+// those that were not known to. Of more than maxDeparted the rest is ignored.
+func (f *Fleet) RecordPeerDepartures(told []deployment.Incarnation) []deployment.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []deployment.Incarnation
+	for _, incarnation := range told[:min(len(told), maxDeparted)] {
+		if f.recordDeparture(incarnation, f.state(incarnation)) {
+			news = append(news, incarnation)
+		}
+	}
+	return news
+}
+
+// Departures returns the incarnations that leave and are listed, or were a short time ago.
+func (f *Fleet) Departures() []deployment.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var leaving []deployment.Incarnation
+	for _, s := range f.servers {
+		if s.Draining {
+			leaving = append(leaving, s.Incarnation())
+		}
+	}
+	for _, unlisted := range f.unlisted {
+		if unlisted.Draining {
+			leaving = append(leaving, unlisted.Incarnation())
+		}
+	}
+	return leaving
+}
+
+// state returns the state of an incarnation that is listed, or was, nil if there is none.
+func (f *Fleet) state(incarnation deployment.Incarnation) *server {
+	if s := f.running(incarnation); s != nil {
+		return s
+	}
+	if unlisted, ok := f.unlisted[incarnation.Server]; ok && unlisted.Incarnation() == incarnation {
+		return unlisted.server
+	}
+	return nil
+}
+
 // waits reports whether the server wants no requests.
 func (s *server) waits(now time.Time) bool { return now.Before(s.waitUntil) }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -91,6 +91,8 @@
 		wire.StageObserved = &wireStageObserved{Backend: string(m.Backend), What: int(m.What)}
 	case PoisonEvidence:
 		wire.PoisonEvidence = poisonEvidenceToWire(m.Evidence)
+	case ServersLeaving:
+		wire.ServersLeaving = incarnationsToWire(m.Servers)
 	case Slowdown:
 		wire.Slowdown = &wireSlowdown{Backend: string(m.Backend), Factor: m.Factor}
 	case ForwardRequest:
@@ -164,6 +166,8 @@
 		return PoisonEvidence{Evidence: poisonEvidenceFromWire(wire.PoisonEvidence)}, nil
 	case wire.ZoneLoads != nil:
 		return zoneLoadsFromWire(wire.ZoneLoads), nil
+	case wire.ServersLeaving != nil:
+		return ServersLeaving{Servers: incarnationsFromWire(wire.ServersLeaving)}, nil
 	case wire.Slowdown != nil:
 		return Slowdown{Backend: deployment.BackendID(wire.Slowdown.Backend), Factor: wire.Slowdown.Factor}, nil
 	case wire.ForwardRequest != nil:
@@ -182,6 +186,22 @@
 	return nil, nil
 }
 
+func incarnationsToWire(incarnations []deployment.Incarnation) []wireIncarnation {
+	list := make([]wireIncarnation, 0, len(incarnations))
+	for _, incarnation := range incarnations {
+		list = append(list, wireIncarnation{Server: string(incarnation.Server), StartedAt: incarnation.StartedAt})
+	}
+	return list
+}
+
+func incarnationsFromWire(list []wireIncarnation) []deployment.Incarnation {
+	incarnations := make([]deployment.Incarnation, 0, len(list))
+	for _, w := range list {
+		incarnations = append(incarnations, deployment.Incarnation{Server: deployment.BackendID(w.Server), StartedAt: w.StartedAt})
+	}
+	return incarnations
+}
+
 func layersToWire(id deployment.BackendID, layers deployment.LayerRange) *wireLayers {
 	return &wireLayers{Backend: string(id), First: layers.First, End: layers.End}
 }
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -84,6 +84,7 @@
 			Free:   map[deployment.ServiceName]spillover.Free{"s": {Requests: 4, PerSecond: 1.5}},
 		},
 		StageObserved{Backend: "b", What: backend.StageAccepted},
+		ServersLeaving{Servers: []deployment.Incarnation{{Server: "s", StartedAt: 5}, {Server: "t"}}},
 		PoisonEvidence{Evidence: poison.Evidence{
 			Ends: []poison.End{{
 				Incarnation: deployment.Incarnation{Server: "s", StartedAt: 5}, Age: time.Second,
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -19,7 +19,7 @@
 		return "zone-loads"
 	case LayersHeld, LayersOrdered, LeaseHolder:
 		return "placement"
-	case StageObserved, Slowdown, LinksState:
+	case StageObserved, ServersLeaving, Slowdown, LinksState:
 		return "observation"
 	case PoisonEvidence:
 		return "evidence"
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -230,6 +230,11 @@
 	What    backend.Observation
 }
 
+// ServersLeaving names backend servers that have said in responses that they leave.
+type ServersLeaving struct {
+	Servers []deployment.Incarnation
+}
+
 // Slowdown reports the slowdown factor of a backend server of a model: how many times
 // longer than usual it takes.
 type Slowdown struct {
@@ -282,6 +287,7 @@
 func (LinksState) isMessage()          {}
 func (ZoneLoads) isMessage()           {}
 func (StageObserved) isMessage()       {}
+func (ServersLeaving) isMessage()      {}
 func (Slowdown) isMessage()            {}
 func (ForwardRequest) isMessage()      {}
 func (ForwardResponse) isMessage()     {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -153,6 +153,12 @@
 	Factor  float64 `cbor:"2,keyasint"`
 }
 
+type wireIncarnation struct {
+	_         struct{} `cbor:",toarray"`
+	Server    string
+	StartedAt int64 // Unix milliseconds
+}
+
 // wireMessage has one field set. Number 20 was the load by zone and must not be used again.
 type wireMessage struct {
 	Hello               *wireHello               `cbor:"1,keyasint,omitempty"`
@@ -179,4 +185,5 @@
 	StageObserved       *wireStageObserved       `cbor:"23,keyasint,omitempty"`
 	PoisonEvidence      *wirePoisonEvidence      `cbor:"24,keyasint,omitempty"`
 	LinksCutOff         *bool                    `cbor:"25,keyasint,omitempty"`
+	ServersLeaving      []wireIncarnation        `cbor:"26,keyasint,omitempty"`
 }
--- a/internal/router/links_test.go
+++ b/internal/router/links_test.go
@@ -117,7 +117,7 @@
 	return slices.ContainsFunc(sr.cuts, func(c linkCut) bool { return c.router == router })
 }
 
-// steadyLoad sends requests to all routers at a steady rate.
+// steadyLoad sends requests to routers at a steady rate.
 type steadyLoad struct {
 	stop    chan struct{}
 	clients sync.WaitGroup
@@ -145,10 +145,13 @@
 	return f.status == http.StatusServiceUnavailable && f.retryAfter != ""
 }
 
-func (sr *scriptRunner) startSteadyLoad() {
+// startSteadyLoad sends requests to the named routers, to all of them if none is named.
+func (sr *scriptRunner) startSteadyLoad(names []string) {
 	load := &steadyLoad{stop: make(chan struct{})}
 	sr.steady = load
-	names := sr.routerNames()
+	if len(names) == 0 {
+		names = sr.routerNames()
+	}
 	timerStop := make(chan struct{})
 	sr.t.Cleanup(func() { close(timerStop) })
 	go load.timer.run(timerStop)
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -45,7 +45,7 @@
 }
 
 // broadcastLoads sends the load of this instance to its zone, and the load of its zone to
-// the other zones, until ctx ends.
+// the other zones, until ctx ends. It also tells all of the servers that have said that they leave.
 func (r *Router) broadcastLoads(ctx context.Context) {
 	var schedule loadSchedule
 	var bridged []peer.Hello
@@ -58,6 +58,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		r.broadcastDepartures()
 		r.gateway.ShareRetries(now)
 		regular := schedule.regular(now)
 		if regular {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -206,12 +206,15 @@
 }
 
 // HandleLink implements peer.Receiver. It sends the new peer what is known of ends of backend
-// servers, whether this instance reaches them, up to which offsets it has the topics and, if it
+// servers and which of them leave, whether this instance reaches them, up to which offsets it has the topics and, if it
 // holds the lease of its zone, the fencing token.
 func (r *Router) HandleLink(from peer.Hello) {
 	if evidence, _ := r.gateway.PoisonEvidence(time.Now()); !evidence.Empty() {
 		r.mesh.Send(from.Instance, peer.PoisonEvidence{Evidence: evidence})
 	}
+	if leaving := r.fleet.Departures(); len(leaving) > 0 {
+		r.mesh.Send(from.Instance, peer.ServersLeaving{Servers: leaving})
+	}
 	if r.outOfReach(time.Now()) {
 		r.mesh.Send(from.Instance, peer.LinksState{CutOff: true})
 	}
@@ -307,6 +310,8 @@
 		r.gateway.SetSlowdown(time.Now(), message.Backend, message.Factor)
 	case peer.PoisonEvidence:
 		r.handlePoisonEvidence(time.Now(), from, message)
+	case peer.ServersLeaving:
+		r.handleDepartures(from, message)
 	}
 }
 
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -100,8 +100,9 @@
 //	links a hang             injects a fault into the links of a router to all servers, or to
 //	                         those named after it: "plain", "model" or a server's number
 //	links-zone zone-a hang   does so for all routers of a zone
-//	steady                   begins to send, at all routers at a steady rate, streams and
-//	                         requests that may run at most once and that may be repeated
+//	steady                   begins to send, at all routers or at those named after it, at a
+//	                         steady rate, streams and requests that may run at most once and
+//	                         that may be repeated
 //	settled                  ends that, and waits for the ends of these requests
 //	served                   checks that, from 3 s after each cut began, enough of the first
 //	                         tries at the routers that were cut off from all servers were
@@ -324,7 +325,7 @@
 	case "links-zone":
 		sr.setLinks(sr.routersOf(fields[1]), fields[2], fields[3:])
 	case "steady":
-		sr.startSteadyLoad()
+		sr.startSteadyLoad(fields[1:])
 	case "settled":
 		sr.steady.finish()
 	case "served":
