--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	monitor     *streamMonitor
 	ends        *endWatch
 	shares      *zoneShares
+	shutdown    atomic.Pointer[Shutdown] // nil before a planned stop
 
 	mu          sync.Mutex
 	services    map[deployment.ServiceName]*serviceState
@@ -251,6 +252,9 @@
 	if rejection != nil {
 		return c, rejection
 	}
+	if err := g.takenInShutdown(time.Now(), c); err != nil {
+		return c, &errorResponse{status: http.StatusServiceUnavailable, code: "shutting-down", retryAfter: shutdownRetryAfter, cause: err}
+	}
 	name, ok := routing.PickService(decision.Route, rand.Float64())
 	if ok {
 		c.service, ok = table.Service(name)
--- a/internal/router/clientconnection.go
+++ b/internal/router/clientconnection.go
@@ -105,10 +105,3 @@
 	c.between = between
 	c.begunAt = time.Time{}
 }
-
-// busy reports whether a request is in flight.
-func (c *clientConnection) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closed && !c.between
-}
--- a/internal/router/clientconnection_test.go
+++ b/internal/router/clientconnection_test.go
@@ -97,9 +97,9 @@
 	assert.NilError(t, client.Close())
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	assert.NilError(t, r.server.Shutdown(ctx))
-	assert.NilError(t, r.clients.waitUntilIdle(ctx))
-	assert.ErrorIs(t, <-done, http.ErrServerClosed)
+	assert.NilError(t, listener.Close())
+	assert.ErrorIs(t, <-done, net.ErrClosed)
+	assert.NilError(t, r.clients.finish(ctx))
 	return answered
 }
 
@@ -114,6 +114,7 @@
 		r.clients.close(time.Now(), 1, limits)
 	}
 	keepNone := func(r *race) { r.server.SetKeepAlivesEnabled(false) }
+	finish := func(r *race) { r.clients.closeUnused(time.Now()) }
 	cases := []struct {
 		name   string
 		inHook bool
@@ -123,6 +124,8 @@
 		{"sweep once it was read", true, sweep},
 		{"stop as it arrives", false, keepNone},
 		{"stop once it was read", true, keepNone},
+		{"end of a stop as it arrives", false, finish},
+		{"end of a stop once it was read", true, finish},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -150,11 +153,11 @@
 	assert.NilError(t, <-sent)
 	assert.NilError(t, connection.Close())
 	connection.setBetween(false)
-	assert.Assert(t, connection.busy())
+	assert.Assert(t, !connection.closeBetween(time.Time{}))
 	assert.NilError(t, pipe.SetDeadline(time.Time{}))
 	assert.NilError(t, connection.Close())
 	assert.Assert(t, pipe.SetDeadline(time.Time{}) != nil)
-	assert.Assert(t, !connection.busy())
+	assert.Assert(t, connection.closed)
 }
 
 // TestLoweredIdleLimitClosesNoKeptConnection guards against a lowered limit that closes
@@ -211,11 +214,17 @@
 // TestStopDoesNotWaitForStrayBytes guards against a stop that waits to its end for a request
 // that will never be handled.
 func TestStopDoesNotWaitForStrayBytes(t *testing.T) {
-	connection := newClientConnection(nil)
+	now := time.Unix(1000, 0)
+	pipe, client := net.Pipe()
+	defer func() { assert.Check(t, client.Close()) }()
+	connection := newClientConnection(pipe)
 	clients := newClientConnections(zap.NewNop())
-	clients.recordState(time.Now(), connection, http.StateIdle)
-	connection.begunAt = time.Now()
-	assert.Equal(t, clients.busy(), 0)
+	clients.recordState(now, connection, http.StateIdle)
+	connection.begunAt = now
+	assert.Equal(t, clients.closeUnused(now.Add(arrivalTime-time.Millisecond)), 1)
+	assert.Assert(t, !connection.closed)
+	assert.Equal(t, clients.closeUnused(now.Add(arrivalTime)), 1)
+	assert.Assert(t, connection.closed)
 }
 
 // TestLastAnswerEndsWithoutReset guards against an answer whose end is a reset, as the rest of a
--- a/internal/router/idle.go
+++ b/internal/router/idle.go
@@ -15,8 +15,10 @@
 
 const (
 	sweepInterval = time.Second
-	// busyCheckInterval is the interval at which a stop checks for requests in flight.
-	busyCheckInterval = 10 * time.Millisecond
+	// finishInterval is the interval at which a stop closes the connections that have become unused.
+	finishInterval = 10 * time.Millisecond
+	// arrivalTime is how long a stop waits for the rest of a header that has begun to arrive.
+	arrivalTime = 500 * time.Millisecond
 )
 
 // clientConnections keeps track of the connections of clients. It closes those that have been
@@ -115,25 +117,12 @@
 	return headerTimeout
 }
 
-// busy returns the number of connections on which a request is in flight.
-func (c *clientConnections) busy() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count := 0
-	for connection := range c.open {
-		if connection.busy() {
-			count++
-		}
-	}
-	return count
-}
-
-// waitUntilIdle waits until no request is in flight, at most until ctx ends. http.Server.Shutdown
-// does not wait for those that came on a connection which it took for idle.
-func (c *clientConnections) waitUntilIdle(ctx context.Context) error {
-	ticker := time.NewTicker(busyCheckInterval)
+// finish closes each connection once nothing of a next request was read from it, until none is open, at
+// most until ctx ends. Unlike http.Server.Shutdown it drops no request that was read whole.
+func (c *clientConnections) finish(ctx context.Context) error {
+	ticker := time.NewTicker(finishInterval)
 	defer ticker.Stop()
-	for c.busy() > 0 {
+	for c.closeUnused(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -143,6 +132,17 @@
 	return nil
 }
 
+// closeUnused closes the connections from which nothing of a next request was read, or no whole header
+// for arrivalTime. It returns how many were open.
+func (c *clientConnections) closeUnused(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for connection := range c.open {
+		connection.closeBetween(now.Add(-arrivalTime))
+	}
+	return len(c.open)
+}
+
 // idleLimit returns how long a connection may go without a complete header; 0 means no
 // limit. A client may begin a header at the very end of the idle timeout and then has
 // the header timeout to complete it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -215,8 +215,12 @@
 	case <-ctx.Done():
 	}
 	beginShutdown()
-	r.drain(server)
-	return nil
+	shutdown := r.beginShutdown(server)
+	time.Sleep(time.Until(shutdown.AcceptsUntil))
+	err = front.Close()
+	<-failed // the last connection has been accepted
+	r.finish(shutdown, err)
+	return server.Close()
 }
 
 // clientServerLog returns the log for net/http's messages, such as errors of Accept. Of those
@@ -246,21 +250,29 @@
 	go r.controller.Run(untilShutdown)
 }
 
-// drain reports the instance as not ready and stops accepting connections after
-// deregistrationDelay, or half the shutdown grace period if that is shorter. It waits for
-// the requests in flight until the grace period is nearly over.
-func (r *Router) drain(server *http.Server) {
-	started := time.Now()
+// beginShutdown reports the instance as not ready. It takes new connections for deregistrationDelay, or
+// half the shutdown grace period if that is shorter, and after that only requests that are answered
+// before the grace period is nearly over.
+func (r *Router) beginShutdown(server *http.Server) gateway.Shutdown {
+	began := time.Now()
 	r.shuttingDown.Store(true)
 	r.mesh.Leave()
 	r.logger.Info("leaving")
 	server.SetKeepAlivesEnabled(false)
 	grace := time.Duration(r.shutdownGrace.Load())
-	time.Sleep(min(deregistrationDelay, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
+	shutdown := gateway.Shutdown{
+		Began: began, AcceptsUntil: began.Add(min(deregistrationDelay, grace/2)), End: began.Add(grace - exitMargin),
+	}
+	r.gateway.BeginShutdown(shutdown)
+	return shutdown
+}
+
+// finish waits for the requests in flight, until the grace period is nearly over.
+func (r *Router) finish(shutdown gateway.Shutdown, err error) {
+	ctx, cancel := context.WithDeadline(context.Background(), shutdown.End)
 	defer cancel()
-	err := errors.Join(server.Shutdown(ctx), r.clients.waitUntilIdle(ctx), r.relayHandler.WaitUntilIdle(ctx))
-	r.logger.Info("stopped", zap.Duration("took-ms", time.Since(started)), zap.NamedError("cut-off", err))
+	err = errors.Join(err, r.clients.finish(ctx), r.relayHandler.WaitUntilIdle(ctx))
+	r.logger.Info("stopped", zap.Duration("took-ms", time.Since(shutdown.Began)), zap.NamedError("cut-off", err))
 }
 
 // serveAuxiliary serves readiness, peer links and metrics. The instance also runs
