--- a/internal/backend/transport_test.go
+++ b/internal/backend/transport_test.go
@@ -94,3 +94,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(body), size)
 }
+
+// TestResponseCutInItsHead guards against a response that breaks off anywhere in its head and is taken
+// for one with an empty body.
+func TestResponseCutInItsHead(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 400\r\n\r\n",
+		"chunked": "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no end":  "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\n",
+		"bare LF": "HTTP/1.1 200 OK\nX-Response-Signature: s\n\n",
+		"folded":  "HTTP/1.1 200 OK\r\nX-Response-Signature:\r\n s\r\nContent-Length: 0\r\n\r\n",
+		"interim": "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			address, _ := serveRaw(t, func(w io.Writer) error {
+				_, err := io.WriteString(w, head[:cut])
+				return errors.Join(err, io.EOF) // closes the connection
+			})
+			_, err := NewTransport(platform.Dialer(0, platform.BackendSilence).DialContext).Send(context.Background(), address, getRequest())
+			var incomplete *IncompleteResponseError
+			assert.Check(t, errors.As(err, &incomplete), "%s, %d bytes: %v", name, cut, err)
+		}
+	}
+}
