--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
 	$(GO) test -run '^$$' -fuzz FuzzDecodeFrame -fuzztime $(FUZZTIME) ./internal/runner
 	$(GO) test -run '^$$' -fuzz FuzzKeyTable -fuzztime $(FUZZTIME) ./internal/logservice/claim
 	$(GO) test -run '^$$' -fuzz FuzzState -fuzztime $(FUZZTIME) ./internal/logservice/document
+	$(GO) test -run '^$$' -fuzz FuzzDecodeBackend -fuzztime $(FUZZTIME) ./platform
 	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./pkg/environment
 
 # Random faults on real processes under load.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 )
@@ -80,6 +81,7 @@
 // releases them only once both hold them, so that no layer becomes uncovered. Each server
 // gets at most one change at a time.
 func Plan(engine *deployment.Engine, servers []Server) []Assignment {
+	servers = withinModel(engine, servers)
 	z := newZonePlanner(engine, servers)
 	if z.model.holds(z.servers, 2) {
 		return z.plan()
@@ -93,6 +95,15 @@
 	return p.changes
 }
 
+// withinModel returns the servers with the part of their layers that the model has.
+func withinModel(engine *deployment.Engine, servers []Server) []Server {
+	within := slices.Clone(servers)
+	for i := range within {
+		within[i].Layers = within[i].Layers.Intersect(deployment.LayerRange{First: 0, End: engine.Layers})
+	}
+	return within
+}
+
 // planner plans one replica and the empty servers that it may use. It holds the servers as
 // they will be after the changes planned so far.
 type planner struct {
