--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -66,13 +66,16 @@
 	peerLimits toldLimits
 	zoneLimits toldLimits
 	departed   departed
-	untold     []deployment.Incarnation // that have told this instance, and no other yet, that they leave
+	// services are those that a configuration has named, nil before AddServices.
+	services     map[deployment.ServiceName]*deployment.Service
+	unconfigured map[deployment.BackendID]deployment.Backend // entries of other services
+	untold       []deployment.Incarnation                    // that have told this instance, and no other yet, that they leave
 }
 
 // NewFleet returns an empty fleet of an instance in a zone.
 func NewFleet(zone deployment.Zone) *Fleet {
 	return &Fleet{
-		zone: zone, peerLimits: toldLimits{}, zoneLimits: toldLimits{}, departed: newDeparted(),
+		zone: zone, peerLimits: toldLimits{}, zoneLimits: toldLimits{}, departed: newDeparted(), unconfigured: map[deployment.BackendID]deployment.Backend{},
 		servers: map[deployment.BackendID]*server{}, unlisted: map[deployment.BackendID]unlistedServer{}, load: newSharedLoad(),
 	}
 }
@@ -140,7 +143,8 @@
 
 // Put adds or updates an entry. If the backend server has restarted under the same ID,
 // the state kept about it is discarded. Put reports whether the entry differs from the
-// known one.
+// known one. An entry that describes no backend server of a configured service (see Check) changes
+// nothing.
 func (f *Fleet) Put(entry deployment.Backend) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -148,7 +152,7 @@
 }
 
 func (f *Fleet) put(entry deployment.Backend) bool {
-	if f.superseded(entry) {
+	if f.keepAside(entry) || f.check(entry) != nil || f.superseded(entry) {
 		return false
 	}
 	if entry.Draining {
@@ -209,6 +213,7 @@
 }
 
 func (f *Fleet) remove(now time.Time, id deployment.BackendID) {
+	delete(f.unconfigured, id)
 	known, ok := f.servers[id]
 	if !ok {
 		return
@@ -238,6 +243,11 @@
 			f.remove(now, id)
 		}
 	}
+	for id := range f.unconfigured {
+		if !listed[id] {
+			delete(f.unconfigured, id)
+		}
+	}
 }
 
 // RecordListUnavailable records that the backend list could not be read.
--- a/internal/backend/stages.go
+++ b/internal/backend/stages.go
@@ -116,11 +116,12 @@
 	return statuses
 }
 
-// SetLayers records the layers that a backend server has just reported.
+// SetLayers records the layers that a backend server has just reported. A range beyond those of its
+// service is ignored.
 func (f *Fleet) SetLayers(id deployment.BackendID, layers deployment.LayerRange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.servers[id]; ok {
+	if s, ok := f.servers[id]; ok && f.holdable(s.Service, layers) {
 		s.Layers = layers
 	}
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -77,6 +77,7 @@
 func (r *Router) applyBackendChanges(records []platform.Record) {
 	for _, record := range records {
 		if record.Value == nil {
+			r.ignoredEntries.forget(record.Key)
 			r.fleet.Remove(time.Now(), deployment.BackendID(record.Key))
 			r.logger.Info("backend server gone", zap.String("backend", record.Key))
 			continue
@@ -97,17 +98,22 @@
 	}
 }
 
-// decodeBackend decodes an entry of the backend list. An invalid one is ignored; only the
-// first is logged.
+// decodeBackend decodes an entry of the backend list, and reports whether it describes a backend server
+// of a service. One that does not is counted and logged. Where the service is not configured yet, the
+// fleet keeps the entry aside, so that the entry is returned.
 func (r *Router) decodeBackend(record platform.Record) (deployment.Backend, bool) {
 	entry, err := platform.DecodeBackend(record.Key, record.Value)
-	if err != nil {
-		r.invalidEntryLogged.Do(func() {
-			r.logger.Info("ignoring invalid backend server entry", zap.String("key", record.Key), zap.Error(err))
-		})
-		return entry, false
+	decoded := err == nil
+	if decoded {
+		err = r.fleet.Check(entry)
 	}
-	return entry, true
+	if _, configured := r.routingTable.Load(); err != nil && (configured || !decoded) {
+		r.ignoredEntries.record(time.Now(), record.Key, err)
+	}
+	if err == nil {
+		r.ignoredEntries.forget(record.Key)
+	}
+	return entry, decoded
 }
 
 // follow steps a consumer until ctx ends, and pauses while a peer reads the topic for
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -15,6 +15,8 @@
 	storeCalls *prometheus.HistogramVec
 	violations prometheus.Counter
 	peerBytes  *prometheus.CounterVec
+
+	ignoredEntries prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry, sink *logging.Sink, fleet *backend.Fleet) *metrics {
@@ -29,6 +31,9 @@
 		peerBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mulberryhead_peer_sent_bytes_total", Help: "Bytes of the messages sent to peers, by kind of message.",
 		}, []string{"kind"}),
+		ignoredEntries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mulberryhead_ignored_backend_entries_total", Help: "Entries of the backend list that describe no backend server of a configured service, each time that they were read.",
+		}),
 	}
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "mulberryhead_log_lines_dropped_total", Help: "Log lines that were dropped because the reader was too slow.",
@@ -36,7 +41,7 @@
 	limited := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "mulberryhead_limited_servers", Help: "Backend servers that have named the requests a second that they take.",
 	}, func() float64 { return float64(fleet.LimitedServers()) })
-	registry.MustRegister(m.storeCalls, m.violations, m.peerBytes, dropped, limited)
+	registry.MustRegister(m.storeCalls, m.violations, m.peerBytes, m.ignoredEntries, dropped, limited)
 	return m
 }
 
--- a/internal/router/newestconfiguration.go
+++ b/internal/router/newestconfiguration.go
@@ -77,6 +77,7 @@
 		r.logger.Error("ignoring invalid configuration", zap.Int64("offset", int64(record.Offset)), zap.Error(err))
 		return
 	}
+	r.fleet.AddServices(configuration.Services) // before requests are routed to them
 	newer := r.routingTable.UpdateIfNewer(configuration)
 	r.logger.Info("configuration", zap.Int64("version", int64(configuration.Version)), zap.Bool("in-force", newer))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -124,7 +124,7 @@
 	backendList         *consumer
 	answers             *rate.Limiter // of records to peers that ask
 	readyLogged         sync.Once
-	invalidEntryLogged  sync.Once
+	ignoredEntries      *ignoredEntries
 	invalidReports      *rate.Limiter // of log lines on reports of peers that were ignored
 }
 
@@ -162,6 +162,8 @@
 	r.backendClient = platform.NewBackendClient(r.links.Dial, func(address deployment.Address) { r.fleet.RecordCall(time.Now(), address) }, r.recordStatement)
 	r.shutdownGrace.Store(int64(settings.ShutdownGrace))
 	r.metrics = newMetrics(r.registry, sink, r.fleet)
+	r.ignoredEntries = newIgnoredEntries(r.logger, r.metrics.ignoredEntries)
+	r.fleet.AddServices(nil) // entries wait for the first configuration
 	r.answers = newAnswerLimiter()
 	r.invalidReports = rate.NewLimiter(rate.Every(time.Minute), 1)
 	r.newestConfiguration = newNewestConfiguration()
