--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -58,6 +58,13 @@
 	return g.ends.evidence(now)
 }
 
+// LastingPoisonEvidence returns what of it must outlive all instances, empty if nothing must.
+func (g *Gateway) LastingPoisonEvidence(now time.Time) poison.Evidence {
+	g.ends.mu.Lock()
+	defer g.ends.mu.Unlock()
+	return g.ends.tracker.Lasting(now)
+}
+
 // partsField returns the log field that names the parts of a request's prompt.
 func partsField(c *call) zap.Field {
 	names := make([]string, 0, len(c.parts))
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -276,23 +276,6 @@
 	return tracker.RecordBegun(at(e.at), e.begun)
 }
 
-// aged returns evidence as it is told some time later.
-func aged(evidence Evidence, by time.Duration) Evidence {
-	var later Evidence
-	for _, e := range evidence.Ends {
-		e.Age += by
-		e.AnsweredAge += by
-		later.Ends = append(later.Ends, e)
-	}
-	for _, k := range evidence.Begun {
-		later.Begun = append(later.Begun, KeyAge{Key: k.Key, Age: k.Age + by})
-	}
-	for _, k := range evidence.Trials {
-		later.Trials = append(later.Trials, KeyAge{Key: k.Key, Age: k.Age + by})
-	}
-	return later
-}
-
 // verdictsOf returns the held keys.
 func verdictsOf(tracker *Tracker, now time.Time) []Key {
 	return slices.Sorted(maps.Keys(tracker.verdictsAt(now).held))
@@ -309,7 +292,7 @@
 		var notices []Evidence
 		for _, e := range events {
 			if news := e.apply(first); !news.Empty() {
-				notices = append(notices, aged(news, now-e.at))
+				notices = append(notices, news.Older(now-e.at))
 			}
 			assertSound(t, first, at(e.at))
 		}
@@ -402,8 +385,8 @@
 				badEnds++
 			}
 			later := now.Add(60 * time.Millisecond)
-			notices = append(notices, aged(tracker.RecordEnd(now, now, e.Incarnation, e.Blamed), end.Sub(now)))
-			notices = append(notices, aged(tracker.RecordBegun(later, []Key{firstPart, goodPart}), end.Sub(later)))
+			notices = append(notices, tracker.RecordEnd(now, now, e.Incarnation, e.Blamed).Older(end.Sub(now)))
+			notices = append(notices, tracker.RecordBegun(later, []Key{firstPart, goodPart}).Older(end.Sub(later)))
 			assert.Equal(t, tracker.Judge(later, []Key{badPart}) == Held, badEnds >= heldEnds, "after %d ends", i+1)
 			assertSound(t, tracker, later)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -248,6 +248,7 @@
 	go r.followInstances(untilDrained)
 	go r.broadcastLoads(untilDrained)
 	go r.sharePoisonEvidence(untilDrained)
+	go r.keepPoisonEvidence(untilDrained)
 	go r.keepRegistered(untilShutdown)
 	go r.controller.Run(untilShutdown)
 }
