--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -159,7 +159,7 @@
 }
 
 func exchange(connection net.Conn, request Request) (*Response, error) {
-	_, writeErr := connection.Write(encode(request))
+	writeErr := write(connection, request)
 	// The server may have responded although the write failed.
 	head := &headReader{source: connection}
 	reader := bufio.NewReaderSize(head, readBufferSize)
@@ -187,7 +187,22 @@
 	}
 }
 
-func encode(request Request) []byte {
+// maxCopiedBody is the size up to which a body is copied behind the header, so that both are sent at once.
+const maxCopiedBody = 16 << 10 // bytes
+
+func write(connection net.Conn, request Request) error {
+	if len(request.Body) <= maxCopiedBody {
+		_, err := connection.Write(append(encodeHeader(request), request.Body...))
+		return err
+	}
+	if _, err := connection.Write(encodeHeader(request)); err != nil {
+		return err
+	}
+	_, err := connection.Write(request.Body)
+	return err
+}
+
+func encodeHeader(request Request) []byte {
 	var b bytes.Buffer
 	b.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
@@ -196,9 +211,8 @@
 	// Writing to a bytes.Buffer does not fail.
 	_ = request.Header.WriteSubset(&b, ownedHeaders)
 	b.WriteString("\r\n")
-	b.Write(request.Body)
 	return b.Bytes()
 }
 
-// ownedHeaders are the headers that encode writes itself.
+// ownedHeaders are the headers that encodeHeader writes itself.
 var ownedHeaders = map[string]bool{"Host": true, "Content-Length": true}
--- /dev/null
+++ b/internal/gateway/bodies_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/routing"
+	"mulberryhead.org/mulberryhead/platform"
+)
+
+// upload begins a request with a body that has yet to be sent.
+func upload(t *testing.T, server *httptest.Server, framing string) net.Conn {
+	connection, err := net.Dial("tcp4", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST /any/x HTTP/1.1\r\nHost: h\r\n%s: r\r\n%s\r\n\r\n", platform.HeaderRequestID, framing)
+	assert.NilError(t, err)
+	return connection
+}
+
+func answerOf(t *testing.T, connection net.Conn) *http.Response {
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	return response
+}
+
+// TestBodiesExceedTheMemory guards against bodies that together take more memory than the instance may
+// give them, and against one that waits or is rejected although there is room.
+func TestBodiesExceedTheMemory(t *testing.T) {
+	const size = 60 << 10
+	for name, framing := range map[string]string{"length": fmt.Sprint("Content-Length: ", size), "chunks": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			d, _ := newDirectDeployment(t)
+			d.peer.bodies = newBodies(2 * (size + 10<<10)) // room for one
+			chunk := ""
+			if name == "chunks" {
+				chunk = fmt.Sprintf("%x\r\n", size)
+			}
+			body := chunk + strings.Repeat("a", size)
+			first := upload(t, d.front, fmt.Sprint("Content-Length: ", size))
+			assert.NilError(t, awaitHeld(d.peer, size))
+			second := upload(t, d.front, framing)
+			if name == "chunks" {
+				_, err := io.WriteString(second, body)
+				assert.NilError(t, err)
+			}
+			rejected := answerOf(t, second)
+			assert.Equal(t, rejected.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, rejected.Header.Get(platform.HeaderRetryAfter) != "")
+			third := upload(t, d.front, fmt.Sprint("Content-Length: ", size))
+			_, err := io.WriteString(first, strings.Repeat("a", size))
+			assert.NilError(t, err)
+			assert.Equal(t, answerOf(t, first).StatusCode, http.StatusOK)
+			_, err = io.WriteString(third, strings.Repeat("a", size))
+			assert.NilError(t, err)
+			assert.Equal(t, answerOf(t, third).StatusCode, http.StatusOK)
+			assert.NilError(t, awaitHeld(d.peer, 0))
+		})
+	}
+}
+
+func awaitHeld(g *Gateway, size int64) error {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if g.BodyBytesHeld() == size {
+			return nil
+		}
+	}
+	return fmt.Errorf("%d bytes are held, want %d", g.BodyBytesHeld(), size)
+}
+
+// BenchmarkBodyOf4MiB measures the bytes that are allocated to read a body of 4 MiB.
+func BenchmarkBodyOf4MiB(b *testing.B) {
+	body := make([]byte, 4<<20)
+	g := &Gateway{bodies: newBodies(0)}
+	w := &readDeadlines{}
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequest(http.MethodPost, "/x", bytes.NewReader(body))
+		c := &call{deadline: time.Now().Add(time.Minute), decision: routing.Decision{Route: &deployment.Route{}}}
+		if rejection := g.holdBody(w, r, c); rejection != nil {
+			b.Fatal(rejection.cause)
+		}
+		if _, rejection := c.readBody(w, r, 4<<20); rejection != nil {
+			b.Fatal(rejection.cause)
+		}
+		c.room.release()
+	}
+}
+
+// readDeadlines is a ResponseWriter that takes read deadlines.
+type readDeadlines struct{ http.ResponseWriter }
+
+func (*readDeadlines) SetReadDeadline(time.Time) error { return nil }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 	monitor     *streamMonitor
 	ends        *endWatch
 	shares      *zoneShares
+	bodies      *bodies
 	shutdown    atomic.Pointer[Shutdown] // nil before a planned stop
 
 	mu          sync.Mutex
@@ -109,6 +110,7 @@
 		monitor:     newStreamMonitor(config, ends),
 		ends:        ends,
 		shares:      newZoneShares(&config),
+		bodies:      newBodies(config.Settings.MemoryLimit),
 		services:    map[deployment.ServiceName]*serviceState{},
 		retryBounds: retryBounds(config.Settings),
 		instances:   initialInstanceCount,
@@ -178,6 +180,7 @@
 	service  *deployment.Service
 	version  deployment.Version
 	request  backend.Request
+	room     bodyRoom                    // for the body
 	attempts int                         // including those that did not run
 	reroutes atomic.Int64                // of the current attempt and earlier ones
 	events   atomic.Int64                // that have arrived in all attempts
@@ -207,6 +210,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	c, rejection := g.accept(w, r, now)
+	defer c.room.release()
 	if rejection != nil {
 		g.respondError(w, c, *rejection)
 		return
@@ -248,7 +252,14 @@
 		return c, &errorResponse{status: http.StatusBadRequest, code: "no-request-id"}
 	}
 	c.deadline = now.Add(requestTimeout(r.Header, decision.Route))
-	body, rejection := readBody(w, r, table.Limits().BodyBytes, c.deadline)
+	limit := table.Limits().BodyBytes
+	if limit > 0 && r.ContentLength > limit {
+		return c, &errorResponse{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	}
+	if rejection := g.holdBody(w, r, c); rejection != nil {
+		return c, rejection
+	}
+	body, rejection := c.readBody(w, r, limit)
 	if rejection != nil {
 		return c, rejection
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -23,15 +22,16 @@
 }
 
 // readBody reads a complete body of at most limit bytes (0 for no limit) before the
-// deadline. A client that sends too slowly gets status 408: its request has not run.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *errorResponse) {
-	if limit > 0 && r.ContentLength > limit {
-		return nil, &errorResponse{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
-	}
-	body, err := readUntil(w, r, limit, deadline)
+// deadline, into the room that is held for it. A client that sends too slowly gets status 408: its
+// request has not run.
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *errorResponse) {
+	body, err := c.readUntil(w, r, limit)
+	var noMemory *bodyMemoryError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &errorResponse{status: http.StatusRequestTimeout, code: "body-too-slow", retryAfter: backendRetryAfter, cause: err}
+	case errors.As(err, &noMemory):
+		return nil, noBodyMemory(w, err)
 	case err != nil:
 		return nil, &errorResponse{status: http.StatusBadRequest, code: "body-broken", cause: err}
 	case limit > 0 && int64(len(body)) > limit:
@@ -44,19 +44,18 @@
 // it clears the connection's read deadline, because net/http keeps reading to detect
 // that the client disconnects. After an error the deadline stays; otherwise net/http
 // would wait for the rest of the body before it sends the response.
-func readUntil(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+func (c *call) readUntil(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	reader := io.Reader(r.Body)
 	if limit > 0 {
-		reader = io.LimitReader(r.Body, limit+1)
+		limit++ // shows that the body is longer
 	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
+	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(reader)
+	body, err := c.room.readAll(r.Body, r.ContentLength, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/relaying.go
+++ b/internal/gateway/relaying.go
@@ -102,6 +102,13 @@
 	tried := g.refusals.recent(time.Now(), offer.call.service.Name)
 	maps.Copy(tried, offer.avoid)
 	refused := &noPeerError{retryAfter: cutOffRetryAfter, cause: errCutOff}
+	size := int64(len(offer.call.request.Body))
+	room, ok := g.bodies.tryHold(size) // for the copy that is sent
+	if !ok {
+		refused.cause = &bodyMemoryError{size: size, held: g.bodies.held()}
+		return nil, refused
+	}
+	defer room.release()
 	for range maxRelayPeers {
 		peer, ended, ok := g.Peers.Begin(time.Now(), g.Settings.Zone, tried)
 		if !ok || ctx.Err() != nil {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -47,8 +47,11 @@
 	// BodyLimit returns the limit on a client's body in bytes, 0 for none. MaxBodyBytes
 	// applies in any case.
 	BodyLimit func() int64
-	Server    Server
-	Logger    *zap.Logger
+	// Hold holds memory for a number of bytes, and returns what gives it back, or false if there is none.
+	// It may be nil, which is without a bound but that of the Handler's own.
+	Hold   func(size int64) (release func(), ok bool)
+	Server Server
+	Logger *zap.Logger
 }
 
 // Handler accepts requests from peers. What it refuses has not run.
@@ -92,6 +95,12 @@
 		return
 	}
 	defer h.release(r.ContentLength)
+	release, ok := h.hold(copiesOfBody * r.ContentLength)
+	if !ok {
+		h.refuse(w, r, refusal{reason: ReasonBusy, retryAfter: busyRetryAfter, discardUntil: now.Add(discardTimeout)})
+		return
+	}
+	defer release()
 	request, refused := h.read(w, r, now, limit)
 	if refused != nil {
 		refused.discardUntil = now.Add(readTimeout)
@@ -101,6 +110,16 @@
 	h.serve(w, r, request)
 }
 
+// copiesOfBody is how often a relayed body is in memory: as it was received and decoded.
+const copiesOfBody = 2
+
+func (h *Handler) hold(size int64) (release func(), ok bool) {
+	if h.config.Hold == nil {
+		return func() {}, true
+	}
+	return h.config.Hold(size)
+}
+
 // bodyLimit returns the limit on the body of a relayed request.
 func (h *Handler) bodyLimit() int64 {
 	if limit := h.config.BodyLimit(); limit > 0 {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mulberryhead.org/mulberryhead/internal/backend"
+	"mulberryhead.org/mulberryhead/internal/gateway"
 	"mulberryhead.org/mulberryhead/internal/logging"
 )
 
@@ -56,3 +57,10 @@
 func (m *metrics) peerSent(kind string, size int) {
 	m.peerBytes.WithLabelValues(kind).Add(float64(size))
 }
+
+// observeBodies adds the metric of the request bodies that a gateway holds.
+func (*metrics) observeBodies(registry *prometheus.Registry, g *gateway.Gateway) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "mulberryhead_request_body_bytes", Help: "Bytes of request bodies for which memory is held.",
+	}, func() float64 { return float64(g.BodyBytesHeld()) }))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -174,8 +174,9 @@
 		OnObservation: r.broadcastObservation, Links: r.links, Peers: r.relayPeers, Leaving: r.shuttingDown.Load,
 		ZoneShares: options.ZoneShares, ZoneCrossingCost: options.ZoneCrossingCost,
 	})
+	r.metrics.observeBodies(r.registry, r.gateway)
 	r.relayHandler = relay.NewHandler(relay.HandlerConfig{
-		Self: settings.Instance, Key: r.relayKey, BodyLimit: r.bodyLimit, Server: r.gateway, Logger: r.logger,
+		Self: settings.Instance, Key: r.relayKey, BodyLimit: r.bodyLimit, Hold: r.gateway.HoldRelayed, Server: r.gateway, Logger: r.logger,
 	})
 	r.controller = placementcontroller.New(placementcontroller.Config{
 		Settings: settings, Store: r.store, BackendClient: r.backendClient, RoutingTable: &r.routingTable, Fleet: r.fleet, Logger: r.logger,
