--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -193,7 +193,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.servers[incarnation.Server]
-	return ok && !s.Draining && s.Backend.Incarnation() == incarnation
+	return ok && !s.Draining && s.Incarnation() == incarnation
 }
 
 // RemoveReplaced removes a backend server after another one has responded at its
--- a/internal/backend/observation_test.go
+++ b/internal/backend/observation_test.go
@@ -58,14 +58,14 @@
 	assert.Equal(t, len(f.Stages(start, service)), 1, "only the link is at fault")
 	f.MarkEnded(start, deployment.Incarnation{Server: "i-1", StartedAt: 1})
 	assert.Equal(t, len(f.Stages(start, service)), 1, "an earlier incarnation has ended")
-	f.MarkEnded(start, f.servers["i-1"].Backend.Incarnation())
+	f.MarkEnded(start, f.servers["i-1"].Incarnation())
 	assert.Equal(t, len(f.Stages(start, service)), 0)
 }
 
 // TestEndToldByOnePeerIsNotEnough guards against a peer that lies about ends.
 func TestEndToldByOnePeerIsNotEnough(t *testing.T) {
 	f := fleetOf(entry("i-1", 0, 80))
-	incarnation := f.servers["i-1"].Backend.Incarnation()
+	incarnation := f.servers["i-1"].Incarnation()
 	f.RecordPeerEnd(start, "p1", incarnation)
 	f.RecordPeerEnd(start, "p1", incarnation)
 	assert.Equal(t, len(f.Stages(start, service)), 1)
@@ -78,7 +78,7 @@
 // is refused, and a later one to another server still succeeds.
 func TestEndFoundOnFailingLinks(t *testing.T) {
 	f := fleetOf(entry("i-1", 0, 80))
-	f.MarkEnded(start, f.servers["i-1"].Backend.Incarnation())
+	f.MarkEnded(start, f.servers["i-1"].Incarnation())
 	assert.Equal(t, f.ServerStatuses(start.Add(time.Second), "svc", "a")[0].UnavailableFor, time.Second)
 	f.ClearLinkSuspects("svc") // the instance was cut off meanwhile
 	assert.Equal(t, f.ServerStatuses(start.Add(time.Second), "svc", "a")[0].UnavailableFor, time.Duration(0))
@@ -90,13 +90,13 @@
 func TestConnectionEndsAnEnd(t *testing.T) {
 	f := fleetOf(entry("i-1", 0, 80))
 	address := f.servers["i-1"].Address
-	f.MarkEnded(start, f.servers["i-1"].Backend.Incarnation())
+	f.MarkEnded(start, f.servers["i-1"].Incarnation())
 	f.RecordConnected(start.Add(time.Second), start.Add(-time.Millisecond), address)
 	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 0, "the connection was begun before the end")
 	f.RecordConnected(start.Add(time.Second), start.Add(time.Millisecond), address)
 	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 1)
 	f.MarkSuspect(start, address)
-	f.MarkEnded(start, f.servers["i-1"].Backend.Incarnation())
+	f.MarkEnded(start, f.servers["i-1"].Incarnation())
 	f.RecordConnected(start.Add(time.Second), start.Add(time.Millisecond), address)
 	assert.Equal(t, len(f.Stages(start.Add(time.Second), service)), 0, "it does not respond")
 }
--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -85,7 +85,7 @@
 // running returns the state of an incarnation, nil if it is not the one that is listed.
 func (f *Fleet) running(incarnation deployment.Incarnation) *server {
 	s, ok := f.servers[incarnation.Server]
-	if !ok || s.Backend.Incarnation() != incarnation {
+	if !ok || s.Incarnation() != incarnation {
 		return nil
 	}
 	return s
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -29,12 +29,14 @@
 	return connection
 }
 
-func answerOf(t *testing.T, connection net.Conn) *http.Response {
+// answerOf reads a response whole, and returns its status and header.
+func answerOf(t *testing.T, connection net.Conn) (int, http.Header) {
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
-	return response
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode, response.Header
 }
 
 // TestBodiesExceedTheMemory guards against bodies that together take more memory than the instance may
@@ -57,16 +59,18 @@
 				_, err := io.WriteString(second, body)
 				assert.NilError(t, err)
 			}
-			rejected := answerOf(t, second)
-			assert.Equal(t, rejected.StatusCode, http.StatusServiceUnavailable)
-			assert.Assert(t, rejected.Header.Get(platform.HeaderRetryAfter) != "")
+			status, header := answerOf(t, second)
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Assert(t, header.Get(platform.HeaderRetryAfter) != "")
 			third := upload(t, d.front, fmt.Sprint("Content-Length: ", size))
 			_, err := io.WriteString(first, strings.Repeat("a", size))
 			assert.NilError(t, err)
-			assert.Equal(t, answerOf(t, first).StatusCode, http.StatusOK)
+			status, _ = answerOf(t, first)
+			assert.Equal(t, status, http.StatusOK)
 			_, err = io.WriteString(third, strings.Repeat("a", size))
 			assert.NilError(t, err)
-			assert.Equal(t, answerOf(t, third).StatusCode, http.StatusOK)
+			status, _ = answerOf(t, third)
+			assert.Equal(t, status, http.StatusOK)
 			assert.NilError(t, awaitHeld(d.peer, 0))
 		})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -221,7 +221,9 @@
 	shutdown := r.beginShutdown(server)
 	time.Sleep(time.Until(shutdown.AcceptsUntil))
 	err = front.Close()
-	<-failed // the last connection has been accepted
+	if served := <-failed; !errors.Is(served, net.ErrClosed) { // until then connections may be accepted
+		err = errors.Join(err, served)
+	}
 	r.finish(shutdown, err)
 	return server.Close()
 }
