--- a/internal/poison/lasting.go
+++ b/internal/poison/lasting.go
@@ -1,52 +1,66 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// maxLastingBlamed bounds the attempts of one end in Lasting: three ends of one attempt each hold a key.
-const maxLastingBlamed = 8
+const (
+	// maxLastingBlamed bounds the attempts of one end in Lasting: three ends of one attempt each hold a key.
+	maxLastingBlamed = 8
+	// maxLastingKeys bounds the keys of all attempts in Lasting, above which only those are kept that
+	// matter most: a record of the platform has a maximum size.
+	maxLastingKeys = 8192
+)
 
 // Lasting returns the evidence that must outlive all instances: all ends, with the attempts that had a
-// suspected or held key, the answers with their keys, and the trials. It is empty if no key is suspected
-// or held. An instance that merges it holds the same keys.
+// key which speaks for or against holding another one, the answers with their keys, and the trials. It is
+// empty if no key is suspected or held, as far as is known once the last episode closes. An instance that
+// merges it holds the same keys.
 func (t *Tracker) Lasting(now time.Time) Evidence {
-	v := t.verdictsAt(now)
+	v := t.verdictsOnceClosed(now)
 	if len(v.held) == 0 && len(v.suspects) == 0 {
 		return Evidence{}
 	}
 	lasting := t.Evidence(now)
+	keys := 0
 	for i := range lasting.Ends {
 		lasting.Ends[i].Blamed = v.lastingBlamed(lasting.Ends[i].Blamed)
+		for _, b := range lasting.Ends[i].Blamed {
+			keys += len(b.Keys)
+		}
+	}
+	if keys > maxLastingKeys {
+		v.leaveOutKeys(lasting.Ends)
 	}
 	lasting.Begun = t.begunOf(now, lasting.Ends)
 	return lasting
 }
 
-// lastingBlamed returns the attempts that had a suspected or held key, of their keys only these and that
-// of the request.
+// lastingBlamed returns the first attempts that had an accused key.
 func (v *verdicts) lastingBlamed(blamed []Blamed) []Blamed {
 	var lasting []Blamed
 	for _, b := range blamed {
-		var keys []Key
-		for _, key := range b.Keys[:len(b.Keys)-1] {
-			if v.accuses(key) {
-				keys = append(keys, key)
-			}
-		}
-		request := b.Keys[len(b.Keys)-1]
-		if len(keys) > 0 || v.accuses(request) {
-			lasting = append(lasting, Blamed{Attempt: b.Attempt, Keys: append(keys, request)})
-		}
-		if len(lasting) == maxLastingBlamed {
-			break
+		if len(lasting) < maxLastingBlamed && slices.ContainsFunc(b.Keys, func(key Key) bool { return v.accused[key] }) {
+			lasting = append(lasting, b)
 		}
 	}
 	return lasting
 }
 
-// accuses reports whether a key is suspected or held.
-func (v *verdicts) accuses(key Key) bool {
-	_, held := v.held[key]
-	return held || v.suspects[key]
+// leaveOutKeys leaves of the keys of attempts the accused ones and those of the requests.
+func (v *verdicts) leaveOutKeys(ends []End) {
+	for _, e := range ends {
+		for i, b := range e.Blamed {
+			var kept []Key
+			for _, key := range b.Keys[:len(b.Keys)-1] {
+				if v.accused[key] {
+					kept = append(kept, key)
+				}
+			}
+			e.Blamed[i].Keys = append(kept, b.Keys[len(b.Keys)-1])
+		}
+	}
 }
 
 // Older returns the evidence as of a time that has passed since.
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -26,7 +26,8 @@
 	until    time.Time // zero if only new evidence changes them
 	suspects map[Key]bool
 	held     map[Key]heldKey
-	live     map[Key]int // ends that are not cleared
+	accused  map[Key]bool // that were suspected or held before what held keys explain was left out
+	live     map[Key]int  // ends that are not cleared
 }
 
 // heldKey is what is known of a key that is held.
@@ -61,6 +62,16 @@
 	return v
 }
 
+// verdictsOnceClosed returns the verdicts that what is known now leads to when the last episode closes.
+func (t *Tracker) verdictsOnceClosed(now time.Time) *verdicts {
+	v := t.verdictsAt(now)
+	if v.until.IsZero() {
+		return v
+	}
+	closed := t.compute(v.until)
+	return &closed
+}
+
 // episode is a group of ends that follow each other closely.
 type episode struct {
 	ends []*end
@@ -128,9 +139,10 @@
 // same score the more specific one is held, since fewer requests have it, but see nextToHold.
 func (t *Tracker) compute(now time.Time) verdicts {
 	episodes, until := t.episodes(now)
-	v := verdicts{valid: true, until: until, suspects: map[Key]bool{}, held: map[Key]heldKey{}, live: map[Key]int{}}
+	v := verdicts{valid: true, until: until, suspects: map[Key]bool{}, held: map[Key]heldKey{}, accused: map[Key]bool{}, live: map[Key]int{}}
 	known := newExplanations()
 	blames := t.blames(episodes, known)
+	v.accuse(blames)
 	for _, b := range blames {
 		v.live[b.key] = len(b.ends)
 	}
@@ -140,6 +152,7 @@
 			known.add(b)
 		}
 		blames = t.blames(episodes, known)
+		v.accuse(blames)
 	}
 	for _, b := range blames {
 		if b.score >= suspectEnds {
@@ -149,6 +162,15 @@
 	return v
 }
 
+// accuse records the keys with enough ends to be suspected.
+func (v *verdicts) accuse(blames []blame) {
+	for _, b := range blames {
+		if b.score >= suspectEnds {
+			v.accused[b.key] = true
+		}
+	}
+}
+
 // nextToHold returns what is to be held next of blames that are in order: the worst one, or all
 // requests with its score. If that is a request, a part with the same score goes first that
 // several requests had, if a request that is held or would be lacks it: such a request may be
