--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -149,20 +149,27 @@
 const timeTolerance = 50 * time.Millisecond
 
 // promoteOwnBegun records as begun the keys of an end with which answers have begun here
-// since, and returns those that are news.
+// since, and the requests that were answered here shortly before. It returns those that are news.
 func (t *Tracker) promoteOwnBegun(now time.Time, e End) []KeyAge {
 	at := now.Add(-e.Age)
-	var cleared []KeyAge
+	var promoted []KeyAge
 	for _, b := range e.Blamed {
-		for _, key := range b.Keys {
-			own, ok := t.ownBegun[key]
-			if ok && !own.Before(at) && t.begun[key].Before(at) {
+		for position, key := range b.Keys {
+			isRequest := position == len(b.Keys)-1
+			if t.tellsMore(key, at) || isRequest && t.tellsMore(key, at.Add(-soundMemory)) {
+				own := t.ownBegun[key]
 				t.begun[key] = own
-				cleared = append(cleared, KeyAge{Key: key, Age: now.Sub(own)})
+				promoted = append(promoted, KeyAge{Key: key, Age: now.Sub(own)})
 			}
 		}
 	}
-	return cleared
+	return promoted
+}
+
+// tellsMore reports whether an answer with a key has begun here since a time, and none is on record.
+func (t *Tracker) tellsMore(key Key, since time.Time) bool {
+	own, ok := t.ownBegun[key]
+	return ok && !own.Before(since) && t.begun[key].Before(since)
 }
 
 // mergeEnd adds an end, and returns what of it was new. Attempts all of whose keys are
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -18,6 +18,9 @@
 	// then servers may end for whatever keeps all requests from beginning. Three episodes end
 	// within the platform's stable-window-ms all the same.
 	outageLength = 1200 * time.Millisecond
+	// soundMemory is how long a request counts as sound after an answer to it has begun: it may have
+	// been in flight on all servers that are then lost at once.
+	soundMemory = 30 * time.Second
 )
 
 // verdicts are computed from the evidence and valid until it changes or an episode closes.
@@ -81,6 +84,12 @@
 	outage bool
 }
 
+// isOf reports whether a tally holds each end of the episode, each with an attempt that was in flight on
+// no other of them: the requests, not their servers, have that in common.
+func (e *episode) isOf(s *tally) bool {
+	return !slices.ContainsFunc(e.ends, func(end *end) bool { return !s.endedAlone(end) })
+}
+
 // join adds an end that follows, and reports whether it belongs to the episode.
 func (e *episode) join(next *end) bool {
 	length := next.at.Sub(e.ends[0].at)
@@ -249,7 +258,7 @@
 	}
 	list := make([]blame, 0, len(found))
 	for key, sum := range found {
-		list = append(list, blame{key: key, tally: *sum, score: sum.score(episodes)})
+		list = append(list, blame{key: key, tally: *sum, score: t.score(key, sum, episodes)})
 	}
 	slices.SortFunc(list, func(a, b blame) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.specificity, a.specificity), cmp.Compare(a.key, b.key))
@@ -263,8 +272,9 @@
 	request     []Key // if the key is that of a request as a whole, all keys of that request
 	requests    map[Key]bool
 	ends        []*end
-	byEpisode   map[int]int // ends
-	attempts    map[Attempt]bool
+	byEpisode   map[int]int        // ends
+	attempts    map[Attempt]int    // on how many of the ends each was in flight
+	attemptsOn  map[*end][]Attempt // if the key is that of a request as a whole
 }
 
 func (t *Tracker) tallyEnd(found map[Key]*tally, episode int, e *end, known *explanations) {
@@ -276,15 +286,16 @@
 			}
 			sum, ok := found[key]
 			if !ok {
-				sum = &tally{requests: map[Key]bool{}, byEpisode: map[int]int{}, attempts: map[Attempt]bool{}}
+				sum = &tally{requests: map[Key]bool{}, byEpisode: map[int]int{}, attempts: map[Attempt]int{}, attemptsOn: map[*end][]Attempt{}}
 				found[key] = sum
 			}
 			sum.specificity = max(sum.specificity, position)
 			if position == len(keys)-1 {
 				sum.request = keys
+				sum.attemptsOn[e] = append(sum.attemptsOn[e], attempt)
 			}
 			sum.requests[keys[len(keys)-1]] = true
-			sum.attempts[attempt] = true
+			sum.attempts[attempt]++
 			if !counted[key] {
 				counted[key] = true
 				sum.ends = append(sum.ends, e)
@@ -294,15 +305,32 @@
 	}
 }
 
+// endedAlone reports whether an attempt was in flight on a server that ended, and on no other one that
+// ended.
+func (s *tally) endedAlone(e *end) bool {
+	return slices.ContainsFunc(s.attemptsOn[e], func(attempt Attempt) bool { return s.attempts[attempt] == 1 })
+}
+
 // score returns how many ends count against a key. No more count than there were attempts,
 // as an attempt ends one server, while it is in flight on many.
-func (s *tally) score(episodes []episode) int {
+func (t *Tracker) score(key Key, s *tally, episodes []episode) int {
 	sum := 0
 	for i, ends := range s.byEpisode {
-		if episodes[i].countsOnce() {
+		if e := &episodes[i]; e.countsOnce() && !t.countsEach(key, s, e) {
 			ends = 1
 		}
 		sum += ends
 	}
 	return min(sum, len(s.attempts))
 }
+
+// countsEach reports whether the ends of an episode count against a key one by one although they came
+// together. That is so for a request as a whole that ran on all the servers, as one that is repeated at
+// once does, unless an answer to it had begun lately. A part of prompts may be in flight everywhere.
+func (t *Tracker) countsEach(key Key, s *tally, e *episode) bool {
+	if s.request == nil || e.open || !e.isOf(s) {
+		return false
+	}
+	begun, answered := t.begun[key]
+	return !answered || e.ends[0].at.Sub(begun) > soundMemory
+}
