--- a/internal/backend/unlisted.go
+++ b/internal/backend/unlisted.go
@@ -52,6 +52,35 @@
 	return list
 }
 
+// Listing tells what the backend list says of an incarnation of a backend server.
+type Listing int
+
+// The listings. A Gone incarnation has no entry any more, or another one has its id or address: one that
+// has not announced its shutdown has ended.
+const (
+	Listed Listing = iota
+	Leaving
+	Gone
+)
+
+func (l Listing) String() string { return [...]string{"listed", "leaving", "gone"}[l] }
+
+// ListingOf returns what the backend list says of an incarnation. One whose entry was removed counts as
+// Listed for missingGrace, unless its id or address is taken.
+func (f *Fleet) ListingOf(now time.Time, incarnation deployment.Incarnation) Listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch unlisted, ok := f.unlisted[incarnation.Server]; {
+	case f.departed.has(incarnation):
+		return Leaving
+	case f.running(incarnation) != nil:
+		return Listed
+	case ok && unlisted.Incarnation() == incarnation && now.Sub(unlisted.removedAt) < missingGrace && f.byAddress(unlisted.Address) == nil:
+		return Listed
+	}
+	return Gone
+}
+
 func (f *Fleet) unlistedByAddress(address deployment.Address) *server {
 	for _, unlisted := range f.unlisted {
 		if unlisted.Address == address {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -272,7 +272,7 @@
 		b.gateway.Fleet.SetWaiting(inFlight.Backend.ID, load.Waiting)
 	}
 	if backendReplaced(response.Response, inFlight.Backend.ID) {
-		b.gateway.Fleet.RemoveReplaced(inFlight.Backend.ID)
+		b.gateway.recordReplaced(time.Now(), inFlight.Backend.ID)
 	} else {
 		b.gateway.recordStatements(time.Now(), b.call, response.Response, inFlight.Backend.Incarnation())
 	}
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -121,8 +121,15 @@
 		refused = e.refuses(suspect.server.Address)
 	}
 	refusedAt := time.Now()
-	if refused && e.reachesOthers(suspect.server.Address, refusedAt) && e.config.Fleet.Serving(incarnation) {
-		e.recordEnd(time.Now(), suspect)
+	if refused {
+		reaches := e.reachesOthers(suspect.server.Address, refusedAt)
+		switch {
+		case !e.config.Fleet.Serving(incarnation):
+		case reaches:
+			e.recordEnd(time.Now(), suspect)
+		default:
+			e.awaitProof(time.Now(), suspect)
+		}
 	}
 	e.mu.Lock()
 	delete(e.checks, incarnation)
@@ -172,7 +179,7 @@
 	incarnation := suspect.server.Incarnation()
 	e.mu.Lock()
 	at := e.endTime(now, suspect)
-	blamed := e.blamedFor(at, incarnation)
+	blamed := append(e.blamedFor(at, incarnation), e.takeUnproven(incarnation)...)
 	known := e.tracker.Ended(incarnation)
 	news := e.tracker.RecordEnd(now, at, incarnation, blamed)
 	e.changed(now, news)
--- a/internal/gateway/endverdict.go
+++ b/internal/gateway/endverdict.go
@@ -23,7 +23,7 @@
 	var own poison.Evidence
 	for _, end := range fresh {
 		at := now.Add(-end.Age)
-		added := e.tracker.RecordEnd(now, at, end.Incarnation, e.blamedFor(at, end.Incarnation))
+		added := e.tracker.RecordEnd(now, at, end.Incarnation, append(e.blamedFor(at, end.Incarnation), e.takeUnproven(end.Incarnation)...))
 		own.Ends = append(own.Ends, added.Ends...)
 		own.Begun = append(own.Begun, added.Begun...)
 	}
--- a/internal/gateway/endwatch.go
+++ b/internal/gateway/endwatch.go
@@ -47,6 +47,7 @@
 	// lastSeen is when a backend server last was on the path of an event, as far as the
 	// attempts have ended.
 	lastSeen  map[deployment.Incarnation]time.Time
+	unproven  map[deployment.Incarnation]*unprovenEnd
 	changedAt time.Time // when the evidence last changed
 	heldKeys  int
 }
@@ -56,6 +57,7 @@
 		config: config, transport: transport, tracker: poison.NewTracker(trialJitter(config.Settings.Instance)),
 		attempts: map[*watchedAttempt]bool{}, checks: map[deployment.Incarnation]chan struct{}{},
 		lastSeen: map[deployment.Incarnation]time.Time{}, othersCheckedAt: map[deployment.Incarnation]time.Time{}, brokeOff: map[deployment.BackendID]bool{},
+		unproven:  map[deployment.Incarnation]*unprovenEnd{},
 		onPeerEnd: func(time.Time, deployment.BackendID) {},
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -94,6 +94,7 @@
 const (
 	noticedHere noticeSource = "here"
 	toldByPeer  noticeSource = "peer"
+	shownByList noticeSource = "list"
 )
 
 // countBackendEnd counts a notice that a backend server has ended.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -277,7 +277,7 @@
 	case now.Sub(sent) > slowRejectionTime:
 		s.gateway.markSuspect(now, address) // the request waited for it until a timeout
 	case backendReplaced(response.Response, path.IDs[0]):
-		s.gateway.Fleet.RemoveReplaced(path.IDs[0])
+		s.gateway.recordReplaced(time.Now(), path.IDs[0])
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		s.gateway.Fleet.MarkWrongLayers(now, address)
 	default:
--- /dev/null
+++ b/internal/gateway/unprovenend.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"mulberryhead.org/mulberryhead/internal/backend"
+	"mulberryhead.org/mulberryhead/internal/deployment"
+	"mulberryhead.org/mulberryhead/internal/poison"
+)
+
+const (
+	// proofTimeout is how long after its connections broke off a backend server must have gone from the
+	// list to have ended then: three heartbeats, and the time that the list may take to arrive.
+	proofTimeout = 10 * time.Second
+	// maxUnproven bounds the ends that wait for a proof.
+	maxUnproven = 256
+)
+
+// unprovenEnd is the end of a backend server that refuses connections, while this instance reaches no
+// other server of the service: all of them may have ended, or its own links may be at fault. The
+// backend list tells, to which the servers write themselves: there a server that runs stays, and one
+// that has ended goes, or another incarnation takes its place. No other server of the service gets
+// a request until then.
+type unprovenEnd struct {
+	server deployment.Backend
+	at     time.Time
+	blamed []poison.Blamed
+}
+
+// awaitProof keeps the end of a backend server, with the attempts that are to be blamed, until the
+// backend list shows it.
+func (e *endWatch) awaitProof(now time.Time, suspect suspectedEnd) {
+	incarnation := suspect.server.Incarnation()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := e.endTime(now, suspect)
+	known, ok := e.unproven[incarnation]
+	if !ok {
+		if len(e.unproven) >= maxUnproven {
+			return
+		}
+		known = &unprovenEnd{server: suspect.server, at: at}
+		e.unproven[incarnation] = known
+	}
+	known.blamed = append(known.blamed, e.blamedFor(at, incarnation)...)
+	e.config.Logger.Info("backend server refuses connections, others are not reached", zap.String("backend", string(suspect.server.ID)),
+		zap.String("address", string(suspect.server.Address)), zap.Int("blamed", len(known.blamed)))
+}
+
+// takeUnproven removes an end that waits for a proof, and returns the attempts that are to be blamed. It
+// is called with mu held.
+func (e *endWatch) takeUnproven(incarnation deployment.Incarnation) []poison.Blamed {
+	known, ok := e.unproven[incarnation]
+	if !ok {
+		return nil
+	}
+	delete(e.unproven, incarnation)
+	return known.blamed
+}
+
+// proveEnds records the ends that the backend list now shows, and forgets those of servers that have
+// stayed in it, or have announced that they leave.
+func (e *endWatch) proveEnds(now time.Time) {
+	for _, end := range e.provenEnds(now) {
+		incarnation := end.server.Incarnation()
+		e.mu.Lock()
+		news := e.tracker.RecordEnd(now, end.at, incarnation, end.blamed)
+		e.changed(now, news)
+		e.mu.Unlock()
+		e.tell(news)
+		e.logEnd(end.server, shownByList, "", len(end.blamed))
+	}
+}
+
+// provenEnds removes the ends that are decided, and returns those that are proven.
+func (e *endWatch) provenEnds(now time.Time) []*unprovenEnd {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var proven []*unprovenEnd
+	for incarnation, end := range e.unproven {
+		listing := e.config.Fleet.ListingOf(now, incarnation)
+		inTime := now.Sub(end.at) < proofTimeout
+		if listing == backend.Listed && inTime {
+			continue
+		}
+		delete(e.unproven, incarnation)
+		if listing == backend.Gone && inTime {
+			proven = append(proven, end)
+		}
+	}
+	return proven
+}
+
+// recordReplaced records that another backend server has responded at the address of one.
+func (g *Gateway) recordReplaced(now time.Time, id deployment.BackendID) {
+	g.Fleet.RemoveReplaced(id)
+	g.ends.proveEnds(now)
+}
+
+// RecordListRead records that the backend list was read: it may show that servers have ended.
+func (g *Gateway) RecordListRead(now time.Time) { g.ends.proveEnds(now) }
--- a/internal/poison/lasting.go
+++ b/internal/poison/lasting.go
@@ -53,12 +53,12 @@
 	for _, e := range ends {
 		for i, b := range e.Blamed {
 			var kept []Key
-			for _, key := range b.Keys[:len(b.Keys)-1] {
-				if v.accused[key] {
+			for position, key := range b.Keys {
+				if isRequest := position == len(b.Keys)-1; isRequest || v.accused[key] {
 					kept = append(kept, key)
 				}
 			}
-			e.Blamed[i].Keys = append(kept, b.Keys[len(b.Keys)-1])
+			e.Blamed[i].Keys = kept
 		}
 	}
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -59,7 +59,11 @@
 // followBackends keeps the fleet in step with the backend list until ctx ends.
 func (r *Router) followBackends(ctx context.Context) {
 	go r.fetchFromPeers(ctx, r.backendList)
-	onSuccess := func() { r.fleet.ExpireMissing(time.Now()) }
+	onSuccess := func() {
+		now := time.Now()
+		r.fleet.ExpireMissing(now)
+		r.gateway.RecordListRead(now)
+	}
 	r.follow(ctx, r.backendList, onSuccess, r.fleet.RecordListUnavailable, backendListInterval)
 }
 
@@ -70,7 +74,9 @@
 			entries = append(entries, entry)
 		}
 	}
-	r.fleet.Replace(time.Now(), entries)
+	now := time.Now()
+	r.fleet.Replace(now, entries)
+	r.gateway.RecordListRead(now)
 	r.logger.Info("backend server list replaced", zap.Int("count", len(entries)))
 }
 
@@ -88,6 +94,7 @@
 				zap.Bool("draining", entry.Draining), zap.Int("first-layer", entry.Layers.First), zap.Int("end-layer", entry.Layers.End))
 		}
 	}
+	r.gateway.RecordListRead(time.Now())
 }
 
 // recordStatement records what a backend server has said of itself in a report, an order's response
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -116,6 +116,9 @@
 //	direct a                 waits until a router sends all its requests to the servers itself
 //	leaves 3                 makes a server say in all its responses that it leaves, while its entry
 //	                         stays; "first" and a zone name those that hold the zone's first layer
+//	repeat-ending 2          sends a request on which servers of the plain service end, and start
+//	                         again, a number of times at once at each router
+//	few-ends                 checks that it hardly ran later than 3 s after it had ended three servers
 //	left-alone               checks that servers got no request of the steady load from routers that
 //	                         had returned such a response (see checkLeftAlone)
 //
@@ -342,6 +345,10 @@
 		sr.leave(fields[1:])
 	case "left-alone":
 		sr.checkLeftAlone()
+	case "repeat-ending":
+		sr.repeatEndingRequest(sr.number(fields[1]))
+	case "few-ends":
+		sr.checkFewEnds()
 	default:
 		return false
 	}
@@ -543,7 +550,7 @@
 func (sr *scriptRunner) requestWithParts(router, route, parts string) result {
 	got := result{route: route, id: uuid.NewString()}
 	method := http.MethodPost
-	if route == "any" {
+	if strings.HasPrefix(route, "any") {
 		method = http.MethodGet
 	}
 	body := ""
