--- a/internal/backend/endpoints.go
+++ b/internal/backend/endpoints.go
@@ -37,6 +37,19 @@
 	return entries
 }
 
+// Incarnations returns the incarnations of the servers of a service, as they are listed.
+func (f *Fleet) Incarnations(service deployment.ServiceName) []deployment.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var incarnations []deployment.Incarnation
+	for _, s := range f.servers {
+		if s.Service == service {
+			incarnations = append(incarnations, s.Incarnation())
+		}
+	}
+	return incarnations
+}
+
 // listed reports whether a server is in the list and stays.
 func (s *server) listed() bool { return !s.Draining && s.missingSince.IsZero() }
 
--- a/internal/gateway/bufferedreservation.go
+++ b/internal/gateway/bufferedreservation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"mulberryhead.org/mulberryhead/internal/backend"
@@ -52,7 +53,7 @@
 	if retry && !budget.CanTake(now, false) {
 		return nil, nil
 	}
-	inFlight, ok := pick(now, b.call.service, b.gateway.Settings.Zone, b.tried)
+	inFlight, ok := pick(now, b.call.service, b.gateway.Settings.Zone, b.excluded(now))
 	if !ok && b.gateway.Fleet.Limited(b.call.service.Name) {
 		return nil, newLimitReachedError(b.call.service.Name)
 	}
@@ -66,6 +67,16 @@
 	return &bufferedReservation{inFlight: inFlight, retry: retry}, nil
 }
 
+// excluded returns the servers that the request must not be sent to.
+func (b *bufferedRequest) excluded(now time.Time) map[deployment.BackendID]bool {
+	ended := b.gateway.ends.endedServers(now, b.call)
+	if len(ended) == 0 {
+		return b.tried
+	}
+	maps.Copy(ended, b.tried)
+	return ended
+}
+
 // reserveConnected reserves an available backend server in place of one that is slow, and opens
 // a connection to it. It returns nil without one.
 func (b *bufferedRequest) reserveConnected(ctx context.Context) *bufferedReservation {
--- a/internal/gateway/unprovenend.go
+++ b/internal/gateway/unprovenend.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,6 +94,37 @@
 	return proven
 }
 
+// endedServers returns the servers of a plain service that must not get a request on which servers may
+// have ended: the list still shows an incarnation that has ended, or may have. The next one may be running
+// at its address, and its end could not be told from the known one. Other requests may go there.
+func (e *endWatch) endedServers(now time.Time, c *call) map[deployment.BackendID]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.tracker.Blamed(now, c.keys) && !e.unprovenBlames(c.keys) {
+		return nil
+	}
+	servers := map[deployment.BackendID]bool{}
+	for _, incarnation := range e.config.Fleet.Incarnations(c.service.Name) {
+		if e.tracker.Ended(incarnation) || e.unproven[incarnation] != nil {
+			servers[incarnation.Server] = true
+		}
+	}
+	return servers
+}
+
+// unprovenBlames reports whether a request with some keys was in flight on a server whose end waits for a
+// proof. It is called with mu held.
+func (e *endWatch) unprovenBlames(keys []poison.Key) bool {
+	for _, end := range e.unproven {
+		for _, blamed := range end.blamed {
+			if slices.ContainsFunc(blamed.Keys, func(key poison.Key) bool { return slices.Contains(keys, key) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // recordReplaced records that another backend server has responded at the address of one.
 func (g *Gateway) recordReplaced(now time.Time, id deployment.BackendID) {
 	g.Fleet.RemoveReplaced(id)
--- a/internal/gateway/unprovenend_test.go
+++ b/internal/gateway/unprovenend_test.go
@@ -138,3 +138,20 @@
 		assert.Assert(t, !s.heldBack(now.Add(3*time.Second)))
 	})
 }
+
+// TestBlamedRequestAvoidsServersThatMayHaveEnded guards against a request that ends the next incarnation
+// of a server before the list shows it, so that this end is taken for the known one.
+func TestBlamedRequestAvoidsServersThatMayHaveEnded(t *testing.T) {
+	s := newRefusedService(t)
+	service := &deployment.Service{Name: "plain"}
+	blamed, other := &call{service: service, keys: []poison.Key{refusedKey}}, &call{service: service, keys: []poison.Key{refusedKey + 1}}
+	now := s.brokeAt.Add(time.Second)
+	assert.Equal(t, len(s.gateway.ends.endedServers(now, blamed)), len(s.servers))
+	assert.Equal(t, len(s.gateway.ends.endedServers(now, other)), 0)
+	next := s.servers[0]
+	next.StartedAt = now
+	s.fleet.Put(next)
+	s.gateway.RecordListRead(now)
+	assert.Assert(t, !s.gateway.ends.endedServers(now, blamed)[next.ID], "the list shows the next incarnation")
+	assert.Assert(t, s.gateway.ends.endedServers(now, blamed)[s.servers[1].ID])
+}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -54,6 +54,13 @@
 	return worst
 }
 
+// Blamed reports whether servers have ended on a request with some keys and none of them is cleared of
+// that, however few the ends are.
+func (t *Tracker) Blamed(now time.Time, keys []Key) bool {
+	live := t.verdictsAt(now).live
+	return slices.ContainsFunc(keys, func(key Key) bool { return live[key] > 0 })
+}
+
 // HeldKeys returns the number of keys that are held.
 func (t *Tracker) HeldKeys(now time.Time) int { return len(t.verdictsAt(now).held) }
 
--- a/internal/router/endingrequest_test.go
+++ b/internal/router/endingrequest_test.go
@@ -27,6 +27,18 @@
 	sent.Wait()
 }
 
+// sendEndingRequest sends that request at intervals, at one router after the other, and waits for the
+// responses.
+func (sr *scriptRunner) sendEndingRequest(interval time.Duration, times int) {
+	var sent sync.WaitGroup
+	routers := sr.routerNames()
+	for i := range times {
+		sent.Go(func() { sr.request(routers[i%len(routers)], "any/ends") })
+		time.Sleep(interval)
+	}
+	sent.Wait()
+}
+
 // checkFewEnds checks that few runs of the request that ends servers began after it was known.
 func (sr *scriptRunner) checkFewEnds() {
 	runs, ends := sr.cluster.EndingRuns()
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -118,6 +118,10 @@
 //	                         stays; "first" and a zone name those that hold the zone's first layer
 //	repeat-ending 2          sends a request on which servers of the plain service end, and start
 //	                         again, a number of times at once at each router
+//	send-ending 500 20       sends it at intervals in milliseconds, a number of times, at one router
+//	                         after the other
+//	restart-under-ids        makes these servers start again under the ids that they had, and write
+//	                         their entries a while later
 //	few-ends                 checks that it hardly ran later than 3 s after it had ended three servers
 //	left-alone               checks that servers got no request of the steady load from routers that
 //	                         had returned such a response (see checkLeftAlone)
@@ -347,6 +351,10 @@
 		sr.checkLeftAlone()
 	case "repeat-ending":
 		sr.repeatEndingRequest(sr.number(fields[1]))
+	case "send-ending":
+		sr.sendEndingRequest(sr.milliseconds(fields[1]), sr.number(fields[2]))
+	case "restart-under-ids":
+		sr.cluster.RestartUnderIDs()
 	case "few-ends":
 		sr.checkFewEnds()
 	default:
