--- a/internal/gateway/unprovenend.go
+++ b/internal/gateway/unprovenend.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -15,19 +16,23 @@
 	// proofTimeout is how long after its connections broke off a backend server must have gone from the
 	// list to have ended then: three heartbeats, and the time that the list may take to arrive.
 	proofTimeout = 10 * time.Second
+	// recheckInterval is the interval at which such a server is connected to again, once this instance
+	// reaches others of the service.
+	recheckInterval = 500 * time.Millisecond
 	// maxUnproven bounds the ends that wait for a proof.
 	maxUnproven = 256
 )
 
 // unprovenEnd is the end of a backend server that refuses connections, while this instance reaches no
-// other server of the service: all of them may have ended, or its own links may be at fault. The
-// backend list tells, to which the servers write themselves: there a server that runs stays, and one
-// that has ended goes, or another incarnation takes its place. No other server of the service gets
-// a request until then.
+// other server of the service: all of them may have ended, or its own links may be at fault. If it still
+// refuses connections when others accept them again, it has ended. The backend list tells too, to which
+// the servers write themselves: there a server that runs stays, and one that has ended goes, or another
+// incarnation takes its place.
 type unprovenEnd struct {
-	server deployment.Backend
-	at     time.Time
-	blamed []poison.Blamed
+	server    deployment.Backend
+	at        time.Time
+	blamed    []poison.Blamed
+	checkedAt time.Time
 }
 
 // awaitProof keeps the end of a backend server, with the attempts that are to be blamed, until the
@@ -45,7 +50,15 @@
 		known = &unprovenEnd{server: suspect.server, at: at}
 		e.unproven[incarnation] = known
 	}
-	known.blamed = append(known.blamed, e.blamedFor(at, incarnation)...)
+	known.checkedAt = now
+	for _, blamed := range e.blamedFor(at, incarnation) {
+		if !slices.ContainsFunc(known.blamed, func(b poison.Blamed) bool { return b.Attempt == blamed.Attempt }) {
+			known.blamed = append(known.blamed, blamed)
+		}
+	}
+	if ok {
+		return
+	}
 	e.config.Logger.Info("backend server refuses connections, others are not reached", zap.String("backend", string(suspect.server.ID)),
 		zap.String("address", string(suspect.server.Address)), zap.Int("blamed", len(known.blamed)))
 }
@@ -75,6 +88,20 @@
 	}
 }
 
+// recheckEnds checks again the servers whose ends wait for a proof, if this instance reaches others of
+// their service again.
+func (e *endWatch) recheckEnds(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, end := range e.unproven {
+		if now.Sub(end.checkedAt) < recheckInterval || !e.config.Links.SomeUp(now, end.server.Service) {
+			continue
+		}
+		end.checkedAt = now
+		go e.checkEnd(context.Background(), suspectedEnd{server: end.server, at: end.at})
+	}
+}
+
 // provenEnds removes the ends that are decided, and returns those that are proven.
 func (e *endWatch) provenEnds(now time.Time) []*unprovenEnd {
 	e.mu.Lock()
@@ -132,4 +159,7 @@
 }
 
 // RecordListRead records that the backend list was read: it may show that servers have ended.
-func (g *Gateway) RecordListRead(now time.Time) { g.ends.proveEnds(now) }
+func (g *Gateway) RecordListRead(now time.Time) {
+	g.ends.proveEnds(now)
+	g.ends.recheckEnds(now)
+}
--- a/internal/gateway/unprovenend_test.go
+++ b/internal/gateway/unprovenend_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 type refusedService struct {
 	gateway *Gateway
 	fleet   *backend.Fleet
+	links   *backend.Links
+	accepts atomic.Value // deployment.Address of the server that accepts connections again
 	servers []deployment.Backend
 	brokeAt time.Time
 }
@@ -38,13 +41,20 @@
 		})
 	}
 	s.fleet.Replace(s.brokeAt, s.servers)
-	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
-	links := backend.NewLinks(backend.LinksConfig{
-		Fleet: s.fleet, Dial: refuse, Logger: zap.NewNop(), OnCutOff: func(deployment.ServiceName, bool) {}, OnLinkDown: func(deployment.Address) {},
+	s.accepts.Store(deployment.Address(""))
+	dial := func(_ context.Context, _, address string) (net.Conn, error) {
+		if deployment.Address(address) != s.accepts.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		here, there := net.Pipe()
+		return here, there.Close()
+	}
+	s.links = backend.NewLinks(backend.LinksConfig{
+		Fleet: s.fleet, Dial: dial, Logger: zap.NewNop(), OnCutOff: func(deployment.ServiceName, bool) {}, OnLinkDown: func(deployment.Address) {},
 	})
-	links.Step(s.brokeAt)
+	s.links.Step(s.brokeAt)
 	s.gateway = New(Config{
-		Fleet: s.fleet, Dial: links.Dial, Links: links, Logger: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Fleet: s.fleet, Dial: s.links.Dial, Links: s.links, Logger: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 		OnPoisonEvidence: func(poison.Evidence) {},
 	})
 	ends := s.gateway.ends
@@ -101,6 +111,21 @@
 		}
 		assert.Assert(t, s.heldBack(now), "with the attempts of this instance")
 	})
+	t.Run("others accept connections", func(t *testing.T) {
+		s := newRefusedService(t)
+		s.accepts.Store(s.servers[0].Address)
+		ends := func() bool {
+			s.links.Step(time.Now())
+			s.gateway.RecordListRead(time.Now())
+			s.gateway.ends.mu.Lock()
+			defer s.gateway.ends.mu.Unlock()
+			return s.gateway.ends.tracker.Ended(s.servers[1].Incarnation()) && s.gateway.ends.tracker.Ended(s.servers[2].Incarnation())
+		}
+		for !ends() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, !s.gateway.ends.tracker.Ended(s.servers[0].Incarnation()))
+	})
 	t.Run("another server responds", func(t *testing.T) {
 		s := newRefusedService(t)
 		for _, server := range s.servers {
