--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -75,18 +75,12 @@
 	return seeds
 }
 
-// servePeers accepts links from peers.
-func (r *Router) servePeers(ctx context.Context) error {
+// peerHandler serves links and relayed requests of peers.
+func (r *Router) peerHandler() http.Handler {
 	handler := http.NewServeMux()
 	handler.Handle(peer.LinkPath, r.mesh.Handler())
 	handler.Handle(relay.Path, r.relayHandler)
-	address := string(r.settings.PeerAddress)
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	r.serveListener(ctx, peerListener{Listener: listener, wrap: r.options.WrapPeerConnection}, address, handler)
-	return nil
+	return handler
 }
 
 // peerListener wraps the connections that it accepts. wrap may be nil.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -193,7 +193,7 @@
 
 func (r *Router) run(ctx context.Context) error {
 	defer r.sink.Close()
-	front, err := net.Listen("tcp4", string(r.settings.FrontAddress))
+	front, err := r.listen(ctx, string(r.settings.FrontAddress))
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
@@ -203,7 +203,7 @@
 	}
 	untilDrained, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := r.serveAuxiliary(untilDrained); err != nil {
+	if err := r.serveAuxiliary(ctx, untilDrained); err != nil {
 		return errors.Join(err, front.Close())
 	}
 	untilShutdown, beginShutdown := context.WithCancel(untilDrained)
@@ -281,32 +281,30 @@
 	r.logger.Info("stopped", zap.Duration("took-ms", time.Since(shutdown.Began)), zap.NamedError("cut-off", err))
 }
 
-// serveAuxiliary serves readiness, peer links and metrics. The instance also runs
-// without its metrics endpoint.
-func (r *Router) serveAuxiliary(ctx context.Context) error {
-	ready := mux.NewRouter()
-	ready.HandleFunc(platform.ReadinessPath, r.serveReadiness)
-	if err := r.serveOn(ctx, string(r.settings.ReadyAddress), ready); err != nil {
+// serveAuxiliary serves readiness, peer links and metrics until untilDrained ends. The instance also
+// runs without its metrics endpoint. ctx ends the waiting for addresses.
+func (r *Router) serveAuxiliary(ctx, untilDrained context.Context) error {
+	address := string(r.settings.ReadyAddress)
+	listener, err := r.listen(ctx, address)
+	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	if err := r.servePeers(ctx); err != nil {
+	ready := mux.NewRouter()
+	ready.HandleFunc(platform.ReadinessPath, r.serveReadiness)
+	r.serveListener(untilDrained, listener, address, ready)
+	address = string(r.settings.PeerAddress)
+	if listener, err = r.listen(ctx, address); err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	metrics := mux.NewRouter()
-	metrics.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
-	address := net.JoinHostPort(r.settings.IP, strconv.Itoa(r.options.MetricsPort))
-	if err := r.serveOn(ctx, address, metrics); err != nil {
+	r.serveListener(untilDrained, peerListener{Listener: listener, wrap: r.options.WrapPeerConnection}, address, r.peerHandler())
+	address = net.JoinHostPort(r.settings.IP, strconv.Itoa(r.options.MetricsPort))
+	if listener, err = net.Listen("tcp4", address); err != nil {
 		r.logger.Error("metrics endpoint unavailable", zap.String("address", address), zap.Error(err))
+		return nil
 	}
-	return nil
-}
-
-func (r *Router) serveOn(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	r.serveListener(ctx, listener, address, handler)
+	metrics := mux.NewRouter()
+	metrics.Handle("/metrics", promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{}))
+	r.serveListener(untilDrained, listener, address, metrics)
 	return nil
 }
 
