--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -393,6 +393,7 @@
 		m.mu.Unlock()
 		l.silence.stop()
 		_ = conn.Close()
+		m.logSecondLink(hello.Instance, "earlier")
 		return
 	}
 	m.links[hello.Instance] = l
@@ -400,6 +401,7 @@
 	m.mu.Unlock()
 	if old != nil {
 		old.close(causeReplaced, nil)
+		m.logSecondLink(hello.Instance, "later")
 	}
 	m.config.Logger.Info("peer link up", zap.String("peer", string(hello.Instance)))
 	m.config.Receiver.HandleLink(hello)
@@ -410,6 +412,12 @@
 	go l.read()
 }
 
+// logSecondLink logs that one of two links to an instance was closed, and which was kept. The peer may have
+// the other one only, for a moment, and then reports that it failed.
+func (m *Mesh) logSecondLink(peer instancelist.ID, kept string) {
+	m.config.Logger.Info("second peer link closed", zap.String("peer", string(peer)), zap.String("kept", kept))
+}
+
 // keepsOld reports whether an open link takes precedence over a new one to the same
 // instance. When both sides dial at once, both keep the link that the instance with
 // the smaller ID dialed.
