--- a/internal/gateway/endwatch.go
+++ b/internal/gateway/endwatch.go
@@ -46,7 +46,8 @@
 	othersCheckedAt map[deployment.Incarnation]time.Time
 	// lastSeen is when a backend server last was on the path of an event, as far as the
 	// attempts have ended.
-	lastSeen  map[deployment.Incarnation]time.Time
+	lastSeen map[deployment.Incarnation]time.Time
+	// unproven are the ends that wait for a proof.
 	unproven  map[deployment.Incarnation]*unprovenEnd
 	changedAt time.Time // when the evidence last changed
 	heldKeys  int
--- a/internal/gateway/unprovenend.go
+++ b/internal/gateway/unprovenend.go
@@ -30,13 +30,13 @@
 // incarnation takes its place.
 type unprovenEnd struct {
 	server    deployment.Backend
-	at        time.Time
-	blamed    []poison.Blamed
-	checkedAt time.Time
+	at        time.Time       // when its connections broke off
+	blamed    []poison.Blamed // attempts of this instance
+	checkedAt time.Time       // when it last refused a connection, or was last asked
 }
 
-// awaitProof keeps the end of a backend server, with the attempts that are to be blamed, until the
-// backend list shows it.
+// awaitProof keeps the end of a backend server, with the attempts that are to be blamed, until it is proven
+// or proofTimeout has passed.
 func (e *endWatch) awaitProof(now time.Time, suspect suspectedEnd) {
 	incarnation := suspect.server.Incarnation()
 	e.mu.Lock()
@@ -158,7 +158,8 @@
 	g.ends.proveEnds(now)
 }
 
-// RecordListRead records that the backend list was read: it may show that servers have ended.
+// RecordListRead records that the backend list was read: it may show that servers have ended. Those whose
+// ends it does not decide are asked again, where others are reached.
 func (g *Gateway) RecordListRead(now time.Time) {
 	g.ends.proveEnds(now)
 	g.ends.recheckEnds(now)
--- a/internal/poison/lasting.go
+++ b/internal/poison/lasting.go
@@ -37,7 +37,7 @@
 	return lasting
 }
 
-// lastingBlamed returns the first attempts that had an accused key.
+// lastingBlamed returns the first attempts that had an accused key, maxLastingBlamed at most.
 func (v *verdicts) lastingBlamed(blamed []Blamed) []Blamed {
 	var lasting []Blamed
 	for _, b := range blamed {
