An instance waits for its addresses for longer than TIME-WAIT

30 s were too few: an outgoing connection that has ended keeps its port for 60 s in TIME-WAIT, and listening on it fails meanwhile (tried by hand: EADDRINUSE, with SO_REUSEADDR).

--- a/internal/router/listen.go
+++ b/internal/router/listen.go
@@ -12,9 +12,9 @@
 
 const (
 	// listenPatience is how long an address may be in use when this instance starts: by the process
-	// before it, or by an outgoing connection that was given the port. listenRetry is the interval of
-	// the attempts meanwhile.
-	listenPatience = 30 * time.Second
+	// before it, or by an outgoing connection that was given the port, for which the system keeps it for a
+	// minute after its end (TIME-WAIT). listenRetry is the interval of the attempts meanwhile.
+	listenPatience = 75 * time.Second
 	listenRetry    = 100 * time.Millisecond
 )
 
