--- a/review/standins2/limit.go
+++ b/review/standins2/limit.go
@@ -17,7 +17,7 @@
 	// namedLimit is the requests a second that a backend server says it takes: far more than there are.
 	// limitedServers is how many of the three name one, a share of 0.7 as in the day of issue 22.
 	limitedServers = 2
-	namedLimit = "10000000"
+	namedLimit     = "10000000"
 	// calmTime is how long requests are sent before the server names its limit, and namedTime after.
 	calmTime   = 5 * time.Second
 	namedTime  = 20 * time.Second
