--- a/review/standins3/fleet.go
+++ b/review/standins3/fleet.go
@@ -39,6 +39,8 @@
 	store  *platformtest.Store
 	// harmOf tells what a request does. It is set before the first request.
 	harmOf func(r *http.Request, body string) harm
+	// loses tells whether a runner loses the answer to a request that it has run. It is nil if none does.
+	loses func(s *runner, request string) bool
 	// keepsOn is set if runners go on with a request whose caller has left.
 	keepsOn bool
 
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -31,6 +31,7 @@
 	"crash-slow-control":  playCrashSlowControl,
 	"crash-event-control": playCrashEventControl,
 	"no-tenants":          playNoTenants,
+	"escape":              playEscape,
 	"line-ends":           playLineEnds,
 	"options":             playOptions,
 }
--- a/review/standins3/runner.go
+++ b/review/standins3/runner.go
@@ -293,6 +293,10 @@
 	if !s.sleep(r, plainTime) {
 		panic(http.ErrAbortHandler)
 	}
+	if id := r.Header.Get(platform.HeaderRequestID); s.fleet.loses != nil && s.fleet.loses(s, id) {
+		s.fleet.record.note("runner %s has run request %s and loses the answer", s.id, id)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(platform.HeaderSignature, s.signature(r))
 	w.Header().Set(platform.HeaderLoad, fmt.Sprintf("1,0,%d", plainSlots))
 	_, _ = io.WriteString(w, "done:"+body) // fails only if the caller has left
