review: case 7, instances stay blind to the server list after a compaction

Cause: after a 410 of log-read the consumer of keyed.servers waits 0.6 s before it reads log-newest.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-2 ./review/standins2
+go build -o target/ ./review/standins3
--- a/review/standins3/fleet.go
+++ b/review/standins3/fleet.go
@@ -84,7 +84,7 @@
 	f.number++
 	s := &runner{
 		fleet: f, id: fmt.Sprintf("i-%08x", f.number), service: service, version: version, lineEnd: lineEnd, address: listener.Addr().String(), born: time.Now().UnixMilli(),
-		ended: make(chan struct{}), paths: map[string]chan []hop{},
+		ended: make(chan struct{}), silent: make(chan struct{}), paths: map[string]chan []hop{},
 	}
 	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 5 * time.Second}
 	f.runners[s.address] = s
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -32,6 +32,7 @@
 	"crash-event-control": playCrashEventControl,
 	"no-tenants":          playNoTenants,
 	"escape":              playEscape,
+	"forget":              playForget,
 	"line-ends":           playLineEnds,
 	"options":             playOptions,
 }
--- a/review/standins3/runner.go
+++ b/review/standins3/runner.go
@@ -45,6 +45,7 @@
 	born    int64 // Unix milliseconds
 	server  *http.Server
 	ended   chan struct{}
+	silent  chan struct{} // closed once it writes no entry any more
 
 	mu          sync.Mutex
 	down        bool
@@ -97,6 +98,8 @@
 		select {
 		case <-s.ended:
 			return
+		case <-s.silent:
+			return
 		case <-time.After(heartbeat):
 		}
 	}
@@ -127,6 +130,9 @@
 	return entry
 }
 
+// silence ends the writing of entries, while the runner goes on serving. It is called once.
+func (s *runner) silence() { close(s.silent) }
+
 // drain writes that the runner leaves.
 func (s *runner) drain() {
 	s.mu.Lock()
