review: case 7 begins when all instances have run for stable-window-ms

Cause: the store forgot its history right after the instances had started, so that the start might have been taken for a part of the fault.

--- a/review/standins3/forget.go
+++ b/review/standins3/forget.go
@@ -43,6 +43,7 @@
 	}
 	stop, done := make(chan struct{}), make(chan int, 1)
 	go func() { done <- p.sendStatus(stop, status) }()
+	time.Sleep(settleTime) // all instances have run for longer than stable-window-ms
 	late := 0
 	for round := 1; round <= forgetRounds && late == 0; round++ {
 		if err := p.fleet.add(plainService, ""); err != nil {
