--- a/internal/router/consumer_test.go
+++ b/internal/router/consumer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -60,6 +61,7 @@
 	case s.down:
 		return platform.Batch{}, errDown
 	case int(from) < s.logStart:
+		s.down = s.downAfterRead
 		return platform.Batch{}, &platform.StatusError{Status: http.StatusGone, LogStart: platform.Offset(s.logStart)}
 	}
 	records := s.records[from:]
@@ -75,12 +77,13 @@
 	consumer *consumer
 	known    map[string]string
 	relayed  []topiccache.Update // updates to push to the other consumer, in order
+	delay    time.Duration       // in which peers may send what replaces dropped records
 }
 
 func newFollower(store topicReader) *follower {
 	f := &follower{known: map[string]string{}}
 	f.consumer = &consumer{
-		store: store, topic: platform.KeyedTopic("test"), cache: topiccache.New(),
+		store: store, logger: zap.NewNop(), topic: platform.KeyedTopic("test"), cache: topiccache.New(),
 		applySnapshot: func(records []platform.Record) {
 			f.known = map[string]string{}
 			f.apply(records)
@@ -91,6 +94,15 @@
 	return f
 }
 
+// step makes the next call to the store, without the rest before it.
+func (f *follower) step() error {
+	call := topiccache.Call(topiccache.ReadNewest{})
+	if next, _ := f.consumer.position(); f.consumer.follows() {
+		call = topiccache.ReadChanges{From: next}
+	}
+	return f.consumer.do(context.Background(), call, f.delay)
+}
+
 func (f *follower) apply(records []platform.Record) {
 	for _, record := range records {
 		f.known[record.Key] = string(record.Value)
@@ -115,7 +127,7 @@
 					continue
 				}
 				if !pushed.consumer.handlePush(now, update) {
-					_, next := pushed.consumer.position()
+					next, _ := pushed.consumer.position()
 					if missed, ok := direct.consumer.cache.Since(next); ok {
 						pushed.consumer.handle(now, missed, false)
 					}
@@ -124,7 +136,7 @@
 			direct.relayed = nil
 		}
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
-			_, before := pushed.consumer.position()
+			before, _ := pushed.consumer.position()
 			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0, 1:
 				record := platform.Record{Offset: store.end(), Key: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))}
@@ -133,24 +145,24 @@
 				}
 				store.records = append(store.records, record)
 			case 2, 3:
-				_ = direct.consumer.step(context.Background()) // fails while the store is down
+				_ = direct.step() // fails while the store is down
 				relay()
 			case 4:
-				_ = pushed.consumer.step(context.Background())
+				_ = pushed.step()
 			case 5:
 				store.down = !store.down
 			case 6:
 				store.logStart = len(store.records)
 			}
-			if _, after := pushed.consumer.position(); after < before {
+			if after, _ := pushed.consumer.position(); after < before {
 				t.Fatalf("position decreased from %d to %d", before, after)
 			}
 		}
 		store.down = false
 		for range 3 { // dropped history takes an extra step
-			_ = direct.consumer.step(context.Background())
+			_ = direct.step()
 			relay()
-			_ = pushed.consumer.step(context.Background())
+			_ = pushed.step()
 		}
 		want := map[string]string{}
 		for key, record := range store.newest() {
@@ -172,17 +184,17 @@
 			store := &fakeTopic{records: []platform.Record{{Offset: 0, Key: "k", Value: []byte("v0")}}}
 			sound, turnedAway := newFollower(&fakeTopic{records: store.records}), newFollower(store)
 			turnedAway.consumer.skipsToNewest = true
-			assert.NilError(t, sound.consumer.step(context.Background()))
-			assert.NilError(t, turnedAway.consumer.step(context.Background()))
+			assert.NilError(t, sound.step())
+			assert.NilError(t, turnedAway.step())
 			later := []platform.Record{{Offset: 1, Key: "k", Value: []byte("v1")}, {Offset: 2, Key: "k", Value: []byte("v2")}}
 			store.records = append(store.records, later...)
 			sound.consumer.store = &fakeTopic{records: store.records}
-			assert.NilError(t, sound.consumer.step(context.Background()))
+			assert.NilError(t, sound.step())
 			store.readLimit, store.downAfterRead = 1, true
 			if dropped {
 				store.logStart = 2
 			}
-			_ = turnedAway.consumer.step(context.Background()) // fails once it looks for the newest
+			_ = turnedAway.step() // fails once it looks for the newest
 			store.down = true
 			now := time.Now().Add(time.Minute)
 			_, from, ok := turnedAway.consumer.nextRequest(now, []instancelist.ID{"sound"}, nil)
@@ -200,7 +212,7 @@
 // often as one that pushes to others, and against one with links that pushes too late for them.
 func TestIsolatedConsumerWaitsLonger(t *testing.T) {
 	c := &consumer{wait: configurationWait}
-	assert.Assert(t, c.readWait() < maxPushAge)
+	assert.Assert(t, c.readWait() < topiccache.MaxPushAge)
 	c.setIsolated(true)
 	assert.Equal(t, c.readWait(), isolatedWait)
 	c.setIsolated(false)
@@ -208,3 +220,30 @@
 	list := &consumer{isolated: true}
 	assert.Equal(t, list.readWait(), time.Duration(0), "the list changes with each heartbeat")
 }
+
+// TestCopyOfAPeerStandsForTheStore guards against instances that go on with an old list for good: the store
+// has dropped the records that follow it, and a peer's copy of the same list made each believe that the store
+// still has them.
+func TestCopyOfAPeerStandsForTheStore(t *testing.T) {
+	store := &fakeTopic{records: []platform.Record{{Offset: 0, Key: "k", Value: []byte("v0")}}}
+	reader, sibling := newFollower(store), newFollower(store)
+	sibling.delay = topiccache.NewestSpread // the reader reads for both
+	for _, f := range []*follower{reader, sibling} {
+		assert.NilError(t, f.step())
+	}
+	store.records = append(store.records, platform.Record{Offset: 1, Key: "k", Value: []byte("v1")})
+	store.logStart = 2
+	for range 3 {
+		for _, f := range []*follower{reader, sibling} {
+			assert.NilError(t, f.step())
+		}
+		for _, pair := range [][2]*follower{{reader, sibling}, {sibling, reader}} {
+			if answer, _, ok := pair[1].consumer.answer(peer.TopicRecordsRequest{}); ok {
+				pair[0].consumer.handle(time.Now(), answer.Update, false)
+			}
+		}
+	}
+	want := map[string]string{"k": "v1"}
+	assert.DeepEqual(t, reader.known, want)
+	assert.DeepEqual(t, sibling.known, want)
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +14,7 @@
 
 const (
 	// configurationWait is how long a read waits for a new version. It is shorter than
-	// maxPushAge, so that instances that receive pushes need not read. It is also shorter
+	// topiccache.MaxPushAge, so that instances that receive pushes need not read. It is also shorter
 	// than the time within which the platform requires a new configuration to be active, so
 	// that an unresponsive connection is noticed in time.
 	configurationWait = 800 * time.Millisecond
@@ -26,23 +27,18 @@
 	backendListInterval = 600 * time.Millisecond
 	// isolatedListInterval is the same on an instance without links to others.
 	isolatedListInterval = time.Second
-	// pushCheckInterval is the interval between checks whether a peer still reads the
-	// topic for this instance.
-	pushCheckInterval = 100 * time.Millisecond
-	// retryDelay is the delay after a failed read.
-	retryDelay = 200 * time.Millisecond
 )
 
 // newConsumers creates the consumers of the configuration and of the backend list.
 func (r *Router) newConsumers() {
 	r.configurations = &consumer{
-		store: r.store, topic: platform.ConfigurationTopic, wait: configurationWait,
+		store: r.store, logger: r.logger, topic: platform.ConfigurationTopic, wait: configurationWait,
 		applySnapshot: r.newestConfiguration.offer, applyChanges: r.newestConfiguration.offer, cache: topiccache.New(),
 		announced: make(chan struct{}, 1), skipsToNewest: true,
 	}
 	r.configurations.relay = r.newRelay(r.configurations)
 	r.backendList = &consumer{
-		store: r.store, topic: platform.BackendsTopic,
+		store: r.store, logger: r.logger, topic: platform.BackendsTopic,
 		applySnapshot: r.replaceBackends, applyChanges: r.applyBackendChanges, cache: topiccache.New(),
 		announced: make(chan struct{}, 1),
 	}
@@ -59,12 +55,12 @@
 // followBackends keeps the fleet in step with the backend list until ctx ends.
 func (r *Router) followBackends(ctx context.Context) {
 	go r.fetchFromPeers(ctx, r.backendList)
-	onSuccess := func() {
+	onCurrent := func() {
 		now := time.Now()
 		r.fleet.ExpireMissing(now)
 		r.gateway.RecordListRead(now)
 	}
-	r.follow(ctx, r.backendList, onSuccess, r.fleet.RecordListUnavailable, backendListInterval)
+	r.follow(ctx, r.backendList, onCurrent, r.fleet.RecordListUnavailable, backendListInterval)
 }
 
 func (r *Router) replaceBackends(records []platform.Record) {
@@ -123,44 +119,57 @@
 	return entry, decoded
 }
 
-// follow steps a consumer until ctx ends, and pauses while a peer reads the topic for
-// this instance. It logs when reads begin to fail and when they succeed again.
-func (r *Router) follow(ctx context.Context, c *consumer, onSuccess func(), onFailure func(now time.Time), interval time.Duration) {
+// follow reads a consumer's topic until ctx ends, and rests while a peer reads it for this instance. It
+// calls onCurrent whenever the list was shown to be current, and logs when reads begin to fail and when they
+// succeed again.
+func (r *Router) follow(ctx context.Context, c *consumer, onCurrent func(), onFailure func(now time.Time), interval time.Duration) {
 	lost := false
 	for ctx.Err() == nil {
-		started := time.Now()
-		if c.receivesPushes(started) && !r.relayRole().readsStore {
-			onSuccess()
-			sleep(ctx, pushCheckInterval)
-			continue
-		}
 		isolated := len(r.mesh.Connected()) == 0
 		c.setIsolated(isolated)
-		err := c.step(ctx)
-		delay := interval - time.Since(started)
-		if isolated && interval > 0 {
-			delay += isolatedListInterval - interval
+		readsForAll := r.relayRole().readsStore
+		call := c.next(time.Now(), intervalOf(interval, isolated), readsForAll)
+		if rest, ok := call.(topiccache.Rest); ok {
+			if rest.Current {
+				onCurrent()
+			}
+			sleep(ctx, rest.For)
+			continue
 		}
+		err := c.do(ctx, call, newestDelay(readsForAll))
 		switch {
-		case err != nil:
-			onFailure(time.Now())
-			delay = retryDelay
-			if !lost {
-				r.logger.Info("store lost", zap.String("topic", c.topic), zap.Error(err))
-			}
-		case lost:
+		case err != nil && !lost:
+			r.logger.Info("store lost", zap.String("topic", c.topic), zap.Error(err))
+		case err == nil && lost:
 			r.logger.Info("store regained", zap.String("topic", c.topic))
 		}
 		lost = err != nil
-		if !lost {
-			onSuccess()
-		}
-		if delay > 0 {
-			sleep(ctx, delay)
+		switch {
+		case lost:
+			onFailure(time.Now())
+		case c.follows():
+			onCurrent()
 		}
 	}
 }
 
+// intervalOf returns the interval between calls to the store.
+func intervalOf(interval time.Duration, isolated bool) time.Duration {
+	if isolated && interval > 0 {
+		return isolatedListInterval
+	}
+	return interval
+}
+
+// newestDelay returns how long an instance waits for its peers before it reads the newest records, after the
+// store has dropped some. The one that reads for all does not wait.
+func newestDelay(readsForAll bool) time.Duration {
+	if readsForAll {
+		return 0
+	}
+	return rand.N(topiccache.NewestSpread)
+}
+
 func sleep(ctx context.Context, delay time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -216,7 +216,7 @@
 		r.mesh.Send(from.Instance, r.leaseHolder(token))
 	}
 	for _, c := range []*consumer{r.configurations, r.backendList} {
-		if synced, next := c.position(); synced {
+		if next, complete := c.position(); complete {
 			r.mesh.Send(from.Instance, announcement(c.topic, next))
 		}
 	}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -55,7 +55,8 @@
 	return func(update topiccache.Update) {
 		role := r.relayRole()
 		if !role.relaysToZone {
-			if update.Next > max(c.next, c.heardNext) {
+			next, _ := c.reader.Position()
+			if update.Next > max(next, c.heardNext) {
 				r.mesh.BroadcastZone(announcement(c.topic, update.Next))
 			}
 			return
--- a/internal/router/topicpeers.go
+++ b/internal/router/topicpeers.go
@@ -19,8 +19,6 @@
 	// fetchIdleInterval that of the checks whether one is needed.
 	fetchInterval     = 50 * time.Millisecond
 	fetchIdleInterval = 250 * time.Millisecond
-	// overdueMargin is how late an expected response of the store may be before a peer is asked.
-	overdueMargin = 400 * time.Millisecond
 	// answerBytesPerSecond and answerBurstBytes bound the records that an instance sends to those
 	// that ask, so that most of its link is left for clients. Who gets none asks another one.
 	answerBytesPerSecond = 256 << 10
@@ -63,20 +61,21 @@
 	return inZone, remote
 }
 
-// nextRequest returns whom to ask now, and from which offset on. A consumer that is not synced
-// needs all records.
+// nextRequest returns whom to ask now, and from which offset on. A consumer that does not know the
+// newest record of each key needs all records.
 func (c *consumer) nextRequest(now time.Time, inZone, remote []instancelist.ID) (instancelist.ID, platform.Offset, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	next, complete := c.reader.Position()
 	situation := topiccache.Situation{
-		Position: c.next, Overdue: now.Sub(c.lastUpdate) > max(c.wait, backendListInterval)+overdueMargin,
-		StoreFails: c.storeFails, Peers: inZone, Remote: remote,
+		Position: next, Overdue: c.reader.Overdue(now, max(c.wait, backendListInterval)),
+		StoreFails: c.reader.Fails(), Peers: inZone, Remote: remote,
 	}
 	to, ok := c.fetch.Next(now, situation, rand.IntN)
-	if !c.synced {
+	if !complete {
 		return to, 0, ok
 	}
-	return to, c.next, ok
+	return to, next, ok
 }
 
 // fetchDelay returns the time to the next look at the fetch.
@@ -90,17 +89,21 @@
 }
 
 // announce records that a peer has records up to an offset, and wakes the fetch if they are new.
-func (c *consumer) announce(now time.Time, from instancelist.ID, next platform.Offset) {
+func (c *consumer) announce(now time.Time, from instancelist.ID, offset platform.Offset) {
 	c.mu.Lock()
-	isNew := next > c.next
-	c.heardNext = max(c.heardNext, next)
-	if isNew {
-		c.fetch.Announce(now, from, next)
+	next, _ := c.reader.Position()
+	c.heardNext = max(c.heardNext, offset)
+	if offset > next {
+		c.fetch.Announce(now, from, offset)
 	}
 	c.mu.Unlock()
-	if !isNew {
-		return
+	if offset > next {
+		c.wakeFetch()
 	}
+}
+
+// wakeFetch makes fetchFromPeers look at once whether a peer is to be asked.
+func (c *consumer) wakeFetch() {
 	select {
 	case c.announced <- struct{}{}:
 	default:
@@ -123,7 +126,7 @@
 	}
 	answer, size, ok := c.answer(request)
 	if !ok || !r.answers.AllowN(now, min(size, answerBurstBytes)) {
-		_, next := c.position()
+		next, _ := c.position()
 		r.mesh.Send(from.Instance, announcement(request.Topic, next))
 		return
 	}
--- a/internal/topiccache/topiccache.go
+++ b/internal/topiccache/topiccache.go
@@ -101,14 +101,14 @@
 }
 
 // Since returns the changes at and after an offset, or a snapshot if some of them may be
-// missing. It returns false if the cache holds nothing newer.
+// missing or the offset is 0, as from who has nothing. It returns false if the cache holds nothing newer.
 func (c *Cache) Since(from platform.Offset) (Update, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next == 0 || from >= c.next {
 		return Update{}, false
 	}
-	update := Update{Snapshot: from < c.historyStart, From: from, Next: c.next}
+	update := Update{Snapshot: from < c.historyStart || from == 0, From: from, Next: c.next}
 	for _, record := range c.records {
 		if update.Snapshot && record.Value != nil || !update.Snapshot && record.Offset >= from {
 			update.Records = append(update.Records, record)
