--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	MULBERRYHEAD_PROVE_CHECKS=$(CHECKS) MULBERRYHEAD_PROVE_SEED=$(SEED) \
 		$(GO) test -count=1 -timeout 60m -v -run 'Prove[A-Za-z]*$$' \
 		./internal/engine ./internal/logservice/... ./internal/caller ./internal/poison ./internal/serverlimit \
-		./internal/reachability
+		./internal/reachability ./internal/topiccache
 
 # Benchmarks and experiments, each against a baseline in the same run.
 bench: build
--- a/internal/router/consumer.go
+++ b/internal/router/consumer.go
@@ -189,7 +189,7 @@
 	switch c.reader.Record(now, evidence) {
 	case topiccache.Changes:
 		c.applyChanges(update.Records)
-		c.cache.Apply(update.Records, update.Next)
+		c.cache.Apply(update)
 	case topiccache.Everything:
 		c.applySnapshot(update.Records)
 		c.cache.Replace(update.Records, update.Next)
--- a/internal/router/consumer_test.go
+++ b/internal/router/consumer_test.go
@@ -247,3 +247,35 @@
 	assert.DeepEqual(t, reader.known, want)
 	assert.DeepEqual(t, sibling.known, want)
 }
+
+// TestPushOfNewestRecordsHidesADeletion guards against a backend server that stays in the list of an instance
+// for good after its entry was removed: the instance had read further than the one that pushes, which has read
+// the newest records only, and so knew neither the entry nor its removal.
+func TestPushOfNewestRecordsHidesADeletion(t *testing.T) {
+	store := &fakeTopic{records: []platform.Record{{Offset: 0, Key: "k", Value: []byte("v0")}}}
+	behind, ahead, asks := newFollower(store), newFollower(store), newFollower(store)
+	for _, f := range []*follower{behind, ahead, asks} {
+		assert.NilError(t, f.step())
+	}
+	store.records = append(store.records, platform.Record{Offset: 1, Key: "short-lived", Value: []byte("v1")})
+	assert.NilError(t, ahead.step())
+	assert.NilError(t, asks.step())
+	store.records = append(store.records, platform.Record{Offset: 2, Key: "short-lived"})
+	store.logStart = 3
+	var push peer.TopicRecords
+	behind.consumer.relay = func(update topiccache.Update) { push = pushOf("t", behind.consumer.cache, update) }
+	assert.NilError(t, behind.step())
+	equal := newFollower(store) // takes the push, and is asked then
+	equal.consumer.handle(time.Now(), topiccache.Update{Snapshot: true, Next: 1, Records: store.records[:1]}, false)
+	for _, f := range []*follower{ahead, equal} {
+		taken := f.consumer.handlePush(time.Now(), push.Update)
+		assert.Equal(t, taken, f == equal)
+	}
+	answer, _, ok := equal.consumer.answer(peer.TopicRecordsRequest{From: 2})
+	assert.Assert(t, ok)
+	asks.consumer.handle(time.Now(), answer.Update, false)
+	assert.NilError(t, ahead.step())
+	for _, f := range []*follower{behind, ahead, equal, asks} {
+		assert.DeepEqual(t, f.known, map[string]string{"k": "v0"})
+	}
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -85,7 +85,7 @@
 	}
 	message.Update = topiccache.Update{From: update.Next, Next: update.Next}
 	if differences, ok := cache.EncodeDifferences(update, maxPushBytes); ok {
-		message.Differences = &differences
+		message.Differences, message.Update.Compacted = &differences, update.Compacted
 	}
 	return message
 }
--- a/internal/router/topicpeers.go
+++ b/internal/router/topicpeers.go
@@ -208,6 +208,6 @@
 	if err != nil {
 		r.logger.Info("ignoring records of a peer", zap.String("peer", string(from.Instance)), zap.String("topic", c.topic), zap.Error(err))
 	}
-	update.Snapshot = message.Update.Snapshot
+	update.Snapshot, update.Compacted = message.Update.Snapshot, message.Update.Compacted
 	return update, known
 }
--- a/internal/topiccache/difference.go
+++ b/internal/topiccache/difference.go
@@ -120,15 +120,15 @@
 	return differences, true
 }
 
-// ChangesOf returns a snapshot as the changes from the cached records, with those of keys that it
-// lacks. Other updates, and snapshots for an empty cache, are returned as they are.
+// ChangesOf returns a snapshot as the compacted changes from the cached records, with those of keys that
+// it lacks. Other updates, and snapshots for an empty cache, are returned as they are.
 func (c *Cache) ChangesOf(update Update) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !update.Snapshot || c.next == 0 || update.Next < c.next {
 		return update
 	}
-	changes := Update{From: c.next, Next: update.Next}
+	changes := Update{Compacted: true, From: c.next, Next: update.Next}
 	kept := make(map[string]bool, len(update.Records))
 	for _, record := range update.Records {
 		kept[record.Key] = true
--- a/internal/topiccache/difference_test.go
+++ b/internal/topiccache/difference_test.go
@@ -88,8 +88,8 @@
 			if err != nil || !known {
 				t.Fatalf("not decoded: %v %v", known, err)
 			}
-			near.Apply(update.Records, update.Next)
-			far.Apply(decoded.Records, decoded.Next)
+			near.Apply(update)
+			far.Apply(decoded)
 			for _, key := range []string{"a", "b"} {
 				a, b := near.base(key), far.base(key)
 				if (a == nil) != (b == nil) || a != nil && (a.Offset != b.Offset || string(a.Value) != string(b.Value)) {
--- a/internal/topiccache/reader.go
+++ b/internal/topiccache/reader.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// take moves the position to the end of an update if that is later and no records in between are missing.
+// take moves the position to the end of an update if that is later and no record in between is missing.
 func (r *Reader) take(update Update) Effect {
 	if r.complete && update.Next <= r.next {
 		return NoEffect
@@ -208,7 +208,7 @@
 		r.next, r.complete = update.Next, true
 		return Everything
 	}
-	if !r.complete || update.From > r.next {
+	if !r.complete || update.From > r.next || update.Compacted && update.From != r.next {
 		return NoEffect
 	}
 	r.next = update.Next
--- a/internal/topiccache/topiccache.go
+++ b/internal/topiccache/topiccache.go
@@ -5,7 +5,7 @@
 // and answer the requests of peers from it:
 //
 //	cache.Replace(records, next)
-//	cache.Apply(records, next)
+//	cache.Apply(update)
 //	update, ok := cache.Since(from)
 //
 // A cache ignores what is older than its contents. Its size is that of the topic's
@@ -29,8 +29,12 @@
 	// deleted.
 	Snapshot bool
 	From     platform.Offset // offset at which the changes begin, unless Snapshot is set
-	Next     platform.Offset // offset after the last change
-	Records  []platform.Record
+	// Compacted reports whether changes were made from a snapshot: the deletions of keys that were created
+	// and deleted after From are missing. Such changes apply at From only, as who is further may hold such
+	// a key.
+	Compacted bool
+	Next      platform.Offset // offset after the last change
+	Records   []platform.Record
 }
 
 // Cache holds the latest record of each key of one topic. It is safe for
@@ -65,15 +69,15 @@
 	c.next = next
 }
 
-// Apply adds the records that follow the contents of the cache, up to offset next.
-// Records that the cache is past are skipped.
-func (c *Cache) Apply(records []platform.Record, next platform.Offset) {
+// Apply adds the changes that follow the contents of the cache. Records that the cache is
+// past are skipped. After compacted changes, readers at an earlier offset need a snapshot.
+func (c *Cache) Apply(update Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if next <= c.next {
+	if update.Next <= c.next {
 		return
 	}
-	for _, record := range records {
+	for _, record := range update.Records {
 		if record.Offset < c.next {
 			continue
 		}
@@ -82,8 +86,8 @@
 		}
 		c.records[record.Key] = record
 	}
-	c.next = next
-	if c.deletions > maxDeletions {
+	c.next = update.Next
+	if c.deletions > maxDeletions || update.Compacted {
 		c.purgeTombstones()
 	}
 }
--- a/internal/topiccache/topiccache_test.go
+++ b/internal/topiccache/topiccache_test.go
@@ -47,7 +47,7 @@
 				want[key] = string(record.Value)
 			}
 			next++
-			cache.Apply([]platform.Record{record}, next)
+			cache.Apply(Update{Records: []platform.Record{record}, Next: next})
 			if rapid.IntRange(0, 9).Draw(t, "ask") == 0 {
 				poll()
 			}
@@ -66,7 +66,7 @@
 	cache := New()
 	cache.Replace([]platform.Record{{Offset: 8, Key: "config", Value: []byte("new")}}, 9)
 	cache.Replace([]platform.Record{{Offset: 3, Key: "config", Value: []byte("old")}}, 4)
-	cache.Apply([]platform.Record{{Offset: 5, Key: "config", Value: []byte("old")}}, 6)
+	cache.Apply(Update{Records: []platform.Record{{Offset: 5, Key: "config", Value: []byte("old")}}, Next: 6})
 	update, ok := cache.Since(0)
 	assert.Assert(t, ok)
 	assert.Equal(t, string(update.Records[0].Value), "new")
