--- a/internal/backend/answers_test.go
+++ b/internal/backend/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -30,10 +31,32 @@
 	}
 }
 
-// sendTo sends a request and reads the whole response.
-func sendTo(address string) (body string, err error) {
+// TestAnswerThatIsResetDuringTheUploadLooksWhole guards against a part of an answer without a length that is taken
+// for the whole one, as the write of a long request has met the reset of the connection and the read an ordinary end.
+func TestAnswerThatIsResetDuringTheUploadLooksWhole(t *testing.T) {
+	const body = "the body"
+	upload := getRequest()
+	upload.Method, upload.Body = http.MethodPost, make([]byte, http1test.UploadSize)
+	for _, answer := range http1test.UploadAnswers() {
+		t.Run(answer.Name, func(t *testing.T) {
+			t.Parallel()
+			got, err := sendRequestTo(answer.Serve(t, "X-Own: a\r\n", body), upload)
+			if answer.Refused {
+				assert.Check(t, err != nil, "got %q", got)
+				return
+			}
+			assert.NilError(t, err) // an error of the write alone does not make an answer with a length broken
+			assert.Equal(t, got, body)
+		})
+	}
+}
+
+func sendTo(address string) (body string, err error) { return sendRequestTo(address, getRequest()) }
+
+// sendRequestTo sends a request and reads the whole response.
+func sendRequestTo(address string, request Request) (body string, err error) {
 	transport := NewTransport(platform.Dialer(0, platform.BackendSilence).DialContext)
-	response, err := transport.Send(context.Background(), deployment.Address(address), getRequest())
+	response, err := transport.Send(context.Background(), deployment.Address(address), request)
 	if err != nil {
 		if incomplete := new(IncompleteResponseError); !errors.As(err, &incomplete) {
 			return "", nil // an error of another kind fails the test of a refused answer too
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -163,9 +163,10 @@
 	return false
 }
 
-func exchange(ctx context.Context, connection net.Conn, request Request) (*Response, error) {
+func exchange(ctx context.Context, conn net.Conn, request Request) (*Response, error) {
+	connection := http1.NewConnection(conn)
 	writeErr := write(connection, request)
-	// The server may have responded although the write failed.
+	// The server may have responded although the write failed. Then the end of the connection ends no body.
 	hold := func() error {
 		if request.Memory == nil {
 			return nil
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -64,6 +65,48 @@
 	}
 }
 
+// TestAnswerThatIsResetDuringTheUploadReachesAClient guards against a client that gets a part of an answer as the
+// whole one, of a server that has answered a long request at once and has reset the connection while it was written:
+// of a plain server or a stream, from a server or through a peer.
+func TestAnswerThatIsResetDuringTheUploadReachesAClient(t *testing.T) {
+	for place, newDeployment := range places {
+		for _, answer := range http1test.UploadAnswers() {
+			for _, path := range []string{"/once/x", "/stream/x"} {
+				t.Run(place+path+"/"+answer.Name, func(t *testing.T) {
+					t.Parallel()
+					checkUploadAnswer(t, newDeployment(t), path, answer)
+				})
+			}
+		}
+	}
+}
+
+// checkUploadAnswer sends a long request of which the server gives an answer before it has read the body.
+func checkUploadAnswer(t *testing.T, d *relayDeployment, path string, answer http1test.UploadAnswer) {
+	const fields = "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+	body := eventText(1) + eventText(2) + eventText(3)
+	d.body = strings.Repeat("b", gatewayUpload)
+	d.respondEarly = func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		answer.Write(connection, fields, body)
+	}
+	result, err := d.trySend(http.MethodPost, path)
+	broken := err != nil || result.err != nil
+	switch {
+	case !answer.Refused:
+		assert.NilError(t, errors.Join(err, result.err))
+		assert.Equal(t, result.status, http.StatusOK)
+		assert.Equal(t, result.body, body)
+	case !broken:
+		assert.Check(t, result.status >= http.StatusInternalServerError, "status %d, body %q", result.status, result.body)
+		assert.Check(t, result.header.Get(platform.HeaderSignature) == "", "status %d", result.status)
+	}
+}
+
+// gatewayUpload is the size of an upload in bytes that clients may send, and that no kernel takes whole.
+const gatewayUpload = 4 << 20
+
 // writeRaw writes bytes in place of a response, and closes the connection.
 func writeRaw(t *testing.T, w http.ResponseWriter, answer string) {
 	connection, _, err := http.NewResponseController(w).Hijack()
--- a/internal/gateway/relaying_test.go
+++ b/internal/gateway/relaying_test.go
@@ -39,7 +39,10 @@
 	peers    []relay.Peer // of origin
 	// respond answers a request in place of serve and reports true. It may be nil.
 	respond func(http.ResponseWriter, *http.Request) bool
-	front   *httptest.Server // of origin
+	// respondEarly answers a request whose body was not read, in place of serve, unless it is nil.
+	respondEarly http.HandlerFunc
+	body         string           // of requests; empty is for a short one
+	front        *httptest.Server // of origin
 	// deadline is what clients send as theirs, in ms; empty is for 20 s.
 	deadline string
 }
@@ -73,6 +76,10 @@
 
 // serve runs a request as its path names.
 func (d *relayDeployment) serve(w http.ResponseWriter, r *http.Request) {
+	if d.respondEarly != nil {
+		d.respondEarly(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	assert.Check(d.t, err)
 	if d.respond != nil && d.respond(w, r) {
@@ -179,7 +186,7 @@
 // trySend is send, with the error of a connection that ended without a response.
 func (d *relayDeployment) trySend(method, path string) (relayResult, error) {
 	d.t.Helper()
-	request, err := http.NewRequest(method, d.front.URL+path, strings.NewReader("body"))
+	request, err := http.NewRequest(method, d.front.URL+path, strings.NewReader(cmp.Or(d.body, "body")))
 	assert.NilError(d.t, err)
 	request.Host = "h"
 	request.Header.Set(platform.HeaderRequestID, "r-1")
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -43,21 +44,40 @@
 // Answers returns the answers of answers.txt. It panics if the file is malformed.
 func Answers() []Answer {
 	var list []Answer
-	for line := range strings.Lines(answersFile) {
+	for _, line := range parseLines(answersFile, 2) {
+		list = append(list, Answer{Name: line.fields[1], Refused: line.fields[0] == "refused", form: line.form})
+	}
+	return list
+}
+
+// answerLine is a line of a file of answers: some words, the first of which is the verdict, and the form.
+type answerLine struct {
+	fields []string
+	form   string
+}
+
+// parseLines returns the lines of a file of answers with a number of words before the form. It panics if the file
+// is malformed.
+func parseLines(file string, words int) []answerLine {
+	var list []answerLine
+	for line := range strings.Lines(file) {
 		fields := strings.Fields(line)
 		if len(fields) == 0 || fields[0] == "#" {
 			continue
 		}
 		_, quoted, _ := strings.Cut(line, `"`)
 		form, err := strconv.Unquote(`"` + strings.TrimSpace(quoted))
-		if err != nil || fields[0] != "refused" && fields[0] != "read" {
+		if err != nil || len(fields) <= words || !slices.Contains(verdicts, fields[0]) {
 			panic(fmt.Sprintf("http1test: %v in %q", err, line))
 		}
-		list = append(list, Answer{Name: fields[1], Refused: fields[0] == "refused", form: form})
+		list = append(list, answerLine{fields: fields[:words], form: form})
 	}
 	return list
 }
 
+// verdicts say what a reader must do with an answer.
+var verdicts = []string{"refused", "read", "either"}
+
 // Serve starts a server that gives an answer to each request, and returns its address. It closes each
 // connection behind the answer.
 func Serve(t *testing.T, answer string) string {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -2,8 +2,10 @@
 // passes on a status that is none, and names of fields with blanks, which also hide where a body ends. Here an
 // answer is checked by RFC 9112 as its bytes arrive, before net/http parses it.
 //
-// Usage, on a connection on which a request was written:
+// Usage, on a connection of its own for a request:
 //
+//	connection := http1.NewConnection(conn)
+//	// write the request to connection, also if that fails:
 //	response, err := http1.ReadResponse(connection, http.MethodGet, nil) // a *MalformedError if it is no answer
 //
 // and for clients that keep connections:
@@ -49,7 +51,7 @@
 }
 
 // ReadResponse reads the head of the first response that is not informational (1xx) from a connection on which
-// one request was written. The body ends with an error other than io.EOF unless it is whole. hold is called once
+// one request was written, see NewConnection. The body ends with an error other than io.EOF unless it is whole. hold is called once
 // if the heads are longer than usual ones, and holds LongHeadMemory or returns an error; it may be nil. The error
 // may be a *MalformedError, ErrHeadTooLarge or that of hold.
 func ReadResponse(connection io.Reader, method string, hold func() error) (*http.Response, error) {
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -33,7 +33,7 @@
 		dial = new(net.Dialer).DialContext
 	}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return dialChecked(ctx, dial, network, address, &checkedConn{memory: memory})
+		return dialChecked(ctx, tracked(dial), network, address, &checkedConn{memory: memory})
 	}
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
 	return &checkedTransport{transport: transport}
@@ -54,6 +54,17 @@
 	return response, nil
 }
 
+// tracked returns a dial function for connections on which a reset is no end of an answer.
+func tracked(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConnection(conn), nil
+	}
+}
+
 // DialUpgrade returns a dial function for connections that begin with a request for another protocol. The
 // answer to it is checked as that to a client's request, but takes of memory until the connection is closed.
 func DialUpgrade(dial DialFunc, memory *Memory) DialFunc {
