The record of what ends backend servers is read until that has worked

What callers would see: after all instances were killed at once while the store was away, a request that is known to end backend servers ends some more.

An instance asked the store for the record once, for 1 s at its start, and never again; the first of a zone then wrote its record over the one that nobody had read.

Change: it is read again each 1 to 2 s, at random, until that has worked, and not written before. No call more once it was read. That nothing is written before is by reading only.

--- a/internal/router/newestconfiguration.go
+++ b/internal/router/newestconfiguration.go
@@ -53,7 +53,9 @@
 // applyConfigurations puts the newest configuration into force until ctx ends. After each it
 // rests as long as it took, so that other work gets its part of the processor.
 func (r *Router) applyConfigurations(ctx context.Context) {
-	r.readPoisonRecords(ctx) // no request is routed before
+	if !r.readPoisonRecords(ctx) { // no request is routed before
+		go r.retryPoisonRecords(ctx)
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/router/poisonrecord.go
+++ b/internal/router/poisonrecord.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,8 +26,10 @@
 	// poisonWriteInterval is the interval at which an instance checks for a change, and the minimum
 	// interval between two writes.
 	poisonWriteInterval = 500 * time.Millisecond
-	// poisonReadTimeout is how long a starting instance waits for the records of the store.
-	poisonReadTimeout = time.Second
+	// poisonReadTimeout is how long a starting instance waits for the records of the store, and
+	// poisonReadInterval the least interval after which it tries again, beside its requests.
+	poisonReadTimeout  = time.Second
+	poisonReadInterval = time.Second
 	// poisonTimeBytes is the length of the time at the beginning of a record.
 	poisonTimeBytes = 8
 )
@@ -61,14 +64,15 @@
 	return evidence.Evidence.Older(max(0, now.Sub(written))), nil
 }
 
-// readPoisonRecords merges what earlier instances have kept. Without the store, peers tell it.
-func (r *Router) readPoisonRecords(ctx context.Context) {
+// readPoisonRecords merges what earlier instances have kept, and reports whether that was read. Without the
+// store, peers tell it.
+func (r *Router) readPoisonRecords(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, poisonReadTimeout)
 	defer cancel()
 	batch, err := r.store.LatestByKey(ctx, poisonTopic)
 	if err != nil {
 		r.logger.Info("evidence on ends of backend servers not read", zap.Error(err))
-		return
+		return false
 	}
 	now := time.Now()
 	for _, record := range batch.Records {
@@ -79,10 +83,23 @@
 		}
 		r.gateway.MergePoisonEvidence(now, deployment.InstanceID("store"), evidence)
 	}
+	r.poisonRead.Store(true)
+	return true
+}
+
+// retryPoisonRecords reads the records as soon as the store lets it, at intervals that differ between
+// instances, until ctx ends.
+func (r *Router) retryPoisonRecords(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, poisonReadInterval+rand.N(poisonReadInterval))
+		if r.readPoisonRecords(ctx) {
+			return
+		}
+	}
 }
 
 // keepPoisonEvidence writes what must outlive all instances when it has changed, if this instance is the
-// first of its zone, until ctx ends.
+// first of its zone, until ctx ends. It writes nothing before it has read what its record would replace.
 func (r *Router) keepPoisonEvidence(ctx context.Context) {
 	var written uint64
 	for ctx.Err() == nil {
@@ -90,7 +107,7 @@
 		now := time.Now()
 		evidence := r.gateway.LastingPoisonEvidence(now)
 		digest := poisonDigest(now, evidence)
-		if evidence.Empty() || digest == written {
+		if evidence.Empty() || digest == written || !r.poisonRead.Load() {
 			continue
 		}
 		if active := r.activeInZone(); len(active) == 0 || active[0] != r.settings.Instance {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -135,6 +135,7 @@
 
 	configurations      *consumer
 	newestConfiguration *newestConfiguration
+	poisonRead          atomic.Bool // what earlier instances have kept of ends of backend servers was read
 	backendList         *consumer
 	answers             *rate.Limiter // of records to peers that ask
 	readyLogged         sync.Once
