--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -31,14 +31,19 @@
 // TestBrokenAnswersReachNoClient guards against a broken answer that a client gets as one, whole or with
 // another body, of a plain server or a stream, from a server or through a peer.
 func TestBrokenAnswersReachNoClient(t *testing.T) {
+	for _, answer := range http1test.Answers() {
+		onEachWay(t, answer.Name, func(t *testing.T, d *relayDeployment, path string) { checkAnswer(t, d, path, answer) })
+	}
+}
+
+// onEachWay runs a check of an answer for a plain server and a stream, from a server and through a peer.
+func onEachWay(t *testing.T, answer string, check func(t *testing.T, d *relayDeployment, path string)) {
 	for place, newDeployment := range places {
-		for _, answer := range http1test.Answers() {
-			for _, path := range []string{"/once/x", "/stream/x"} {
-				t.Run(place+path+"/"+answer.Name, func(t *testing.T) {
-					t.Parallel()
-					checkAnswer(t, newDeployment(t), path, answer)
-				})
-			}
+		for _, path := range []string{"/once/x", "/stream/x"} {
+			t.Run(place+path+"/"+answer, func(t *testing.T) {
+				t.Parallel()
+				check(t, newDeployment(t), path)
+			})
 		}
 	}
 }
@@ -69,15 +74,8 @@
 // whole one, of a server that has answered a long request at once and has reset the connection while it was written:
 // of a plain server or a stream, from a server or through a peer.
 func TestAnswerThatIsResetDuringTheUploadReachesAClient(t *testing.T) {
-	for place, newDeployment := range places {
-		for _, answer := range http1test.UploadAnswers() {
-			for _, path := range []string{"/once/x", "/stream/x"} {
-				t.Run(place+path+"/"+answer.Name, func(t *testing.T) {
-					t.Parallel()
-					checkUploadAnswer(t, newDeployment(t), path, answer)
-				})
-			}
-		}
+	for _, answer := range http1test.UploadAnswers() {
+		onEachWay(t, answer.Name, func(t *testing.T, d *relayDeployment, path string) { checkUploadAnswer(t, d, path, answer) })
 	}
 }
 
--- a/internal/http1/http1test/http1test.go
+++ b/internal/http1/http1test/http1test.go
@@ -92,6 +92,12 @@
 
 // ServeFunc starts a server that answers each request with what a function writes, and returns its address.
 func ServeFunc(t *testing.T, answer func(connection net.Conn) error) string {
+	return serveEach(t, func(connection net.Conn) { serve(connection, answer) })
+}
+
+// serveEach starts a server that passes each connection to handle, in a goroutine of its own, and returns its
+// address.
+func serveEach(t *testing.T, handle func(connection net.Conn)) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -101,7 +107,7 @@
 			if err != nil {
 				return // closed
 			}
-			go serve(connection, answer)
+			go handle(connection)
 		}
 	}()
 	return listener.Addr().String()
--- a/internal/http1/http1test/upload.go
+++ b/internal/http1/http1test/upload.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"gotest.tools/v3/assert"
 )
 
 //go:embed uploads.txt
@@ -44,23 +42,11 @@
 // Serve starts a server that gives the answer to each request once it has read its head, and returns its address.
 // fields and body are as those of Answer.Bytes.
 func (a UploadAnswer) Serve(t *testing.T, fields, body string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return // closed
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
-					a.Write(connection, fields, body)
-				}
-			}()
+	return serveEach(t, func(connection net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			a.Write(connection, fields, body)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // Write gives the answer on a connection on which the head of a request was read, and ends the connection.
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -73,7 +73,8 @@
 //	store busy               injects a fault into the store (see below)
 //	crash 3                  ends a server; its entry stays in the list
 //	drain 3                  makes a server announce that it is draining
-//	unlist 3                 removes a server's entry from the list
+//	unlist 3                 removes a server's entry from the list until its next heartbeat
+//	leave-unannounced 3      removes a server's entry for good, while the server goes on
 //	stop a                   stops a router and waits until it has ended
 //	pause 300                waits for a number of milliseconds
 //	ends-on middle           makes the server at a place of the path (first, middle, last)
@@ -281,6 +282,8 @@
 		sr.server(fields[1]).Drain()
 	case "unlist":
 		sr.server(fields[1]).Deregister()
+	case "leave-unannounced":
+		sr.server(fields[1]).LeaveUnannounced()
 	case "store":
 		sr.store.SetFault(sr.storeFault(fields[1]))
 	case "remember":
