--- a/internal/router/clientcrowd/crowd_test.go
+++ b/internal/router/clientcrowd/crowd_test.go
@@ -201,6 +201,9 @@
 		return pieces(strings.Replace(request, "POST /any/x", "GET /any/x?answer="+arguments[0], 1)+allowed+"\r\n", 16<<10)
 	case "stream": // a request for a stream, SIZE is of no matter
 		return pieces(strings.Replace(request, "/any/x", "/stream/x", 1)+allowed+"Content-Length: 2\r\n\r\nok", 16<<10)
+	case "upload": // a whole request of SIZE to PATH, on a connection of its own
+		head := strings.Replace(request, "/any/x", arguments[1], 1) + allowed + "Connection: close\r\n"
+		return append([][]byte{[]byte(head + fmt.Sprintf("Content-Length: %d\r\n\r\n", size))}, pieces(short+"b", 64<<10)...)
 	case "body": // of a known length, PIECE bytes at a time, short of its end
 		return append([][]byte{[]byte(request + allowed + fmt.Sprintf("Content-Length: %d\r\n\r\n", size))}, pieces(short, number(t, arguments[1]))...)
 	case "chunks": // of CHUNK bytes, short of the end
