--- a/internal/topiccache/topiccache.go
+++ b/internal/topiccache/topiccache.go
@@ -1,11 +1,21 @@
 // Package topiccache keeps the latest record of each key of a topic, so that an
-// instance that can't read the platform's store can get them from another one.
+// instance that can't read the platform's store can get them from another one, and
+// decides what an instance reads of the topic and takes from others.
 //
-// Usage: apply to a Cache what is read of the topic, from the store or from a peer,
-// and answer the requests of peers from it:
+// Usage: ask a Reader what to read, record what came of it, and apply to a Cache what
+// the Reader takes:
+//
+//	switch call := reader.Next(now, interval, readsForAll).(type) { ... }
+//	switch reader.Record(now, topiccache.StoreUpdate{Update: update}) {
+//	case topiccache.Everything:
+//		cache.Replace(update.Records, update.Next)
+//	case topiccache.Changes:
+//		cache.Apply(update)
+//	}
+//
+// A Fetch decides which peer is asked for records, and peers' requests are answered from
+// the Cache:
 //
-//	cache.Replace(records, next)
-//	cache.Apply(update)
 //	update, ok := cache.Since(from)
 //
 // A cache ignores what is older than its contents. Its size is that of the topic's
