MIXED: an end that comes before a reset is no end of an answer

What callers saw: a part of an answer as the whole one, signed. The server had answered a long upload at once, without a length, sent a part of its body, ended its side of the connection, and then reset it with the upload unread.

Cause: http1.NewConnection asked only what a write had met. Where the kernel has taken the whole upload no write fails any more, so that the end stands for the reset behind it. Even a reset that has arrived when the body is read is not seen: the kernel goes on to report the end. With net/http, whose writes and reads go on beside one another, the same for uploads of any size, as an end is read between two writes.

Change: the end of a connection waits until the server's host has taken the whole request. The kernel is asked for what is not acknowledged (SIOCOUTQ), and for a reset (SO_ERROR); clients of net/http learn from httptrace when all is written. A reset, or a second in which the server takes nothing, is an error; while it takes more, the end waits, within the call's timeout. Time in which this process stood still itself does not count. A request that is read before it is answered is acknowledged when the end comes, so that ordinary ends are passed on at once. Where a host refuses the question the end stays as it was. One place, for all that read answers.

Weighed: to believe the end after the wait. Nothing has shown then that the answer is whole. To wait behind each end: it would hold sound answers, and would not tell a server whose host had taken the upload.

--- a/internal/backend/answers_test.go
+++ b/internal/backend/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -32,22 +33,25 @@
 }
 
 // TestAnswerThatIsResetDuringTheUploadLooksWhole guards against a part of an answer without a length that is taken
-// for the whole one, as the write of a long request has met the reset of the connection and the read an ordinary end.
+// for the whole one, as the write of a long request has met the reset of the connection and the read an ordinary end,
+// or as that end came before the reset.
 func TestAnswerThatIsResetDuringTheUploadLooksWhole(t *testing.T) {
 	const body = "the body"
-	upload := getRequest()
-	upload.Method, upload.Body = http.MethodPost, make([]byte, http1test.UploadSize)
-	for _, answer := range http1test.UploadAnswers() {
-		t.Run(answer.Name, func(t *testing.T) {
-			t.Parallel()
-			got, err := sendRequestTo(answer.Serve(t, "X-Own: a\r\n", body), upload)
-			if answer.Refused {
-				assert.Check(t, err != nil, "got %q", got)
-				return
-			}
-			assert.NilError(t, err) // an error of the write alone does not make an answer with a length broken
-			assert.Equal(t, got, body)
-		})
+	for _, size := range []int{http1test.WrittenUploadSize, http1test.UploadSize} {
+		upload := getRequest()
+		upload.Method, upload.Body = http.MethodPost, make([]byte, size)
+		for _, answer := range http1test.UploadAnswers() {
+			t.Run(fmt.Sprint(answer.Name, "/", size), func(t *testing.T) {
+				t.Parallel()
+				got, err := sendRequestTo(answer.Serve(t, "X-Own: a\r\n", body), upload)
+				if answer.Refused {
+					assert.Check(t, err != nil, "got %q", got)
+					return
+				}
+				assert.NilError(t, err) // an error of the write alone does not make an answer with a length broken
+				assert.Equal(t, got, body)
+			})
+		}
 	}
 }
 
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -71,11 +71,16 @@
 }
 
 // TestAnswerThatIsResetDuringTheUploadReachesAClient guards against a client that gets a part of an answer as the
-// whole one, of a server that has answered a long request at once and has reset the connection while it was written:
+// whole one, of a server that has answered a long request at once and has reset the connection before it has read it:
 // of a plain server or a stream, from a server or through a peer.
 func TestAnswerThatIsResetDuringTheUploadReachesAClient(t *testing.T) {
-	for _, answer := range http1test.UploadAnswers() {
-		onEachWay(t, answer.Name, func(t *testing.T, d *relayDeployment, path string) { checkUploadAnswer(t, d, path, answer) })
+	for _, size := range []int{http1test.WrittenUploadSize, gatewayUpload} {
+		for _, answer := range http1test.UploadAnswers() {
+			onEachWay(t, fmt.Sprint(answer.Name, "/", size), func(t *testing.T, d *relayDeployment, path string) {
+				d.body = strings.Repeat("b", size)
+				checkUploadAnswer(t, d, path, answer)
+			})
+		}
 	}
 }
 
@@ -83,7 +88,6 @@
 func checkUploadAnswer(t *testing.T, d *relayDeployment, path string, answer http1test.UploadAnswer) {
 	const fields = "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
 	body := eventText(1) + eventText(2) + eventText(3)
-	d.body = strings.Repeat("b", gatewayUpload)
 	d.respondEarly = func(w http.ResponseWriter, _ *http.Request) {
 		connection, _, err := http.NewResponseController(w).Hijack()
 		assert.Check(t, err)
--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -33,7 +34,12 @@
 		dial = new(net.Dialer).DialContext
 	}
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return dialChecked(ctx, tracked(dial), network, address, &checkedConn{memory: memory})
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		request := &connection{Conn: conn}
+		return &checkedConn{Conn: request, request: request, memory: memory}, nil
 	}
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
 	return &checkedTransport{transport: transport}
@@ -41,52 +47,44 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var connection *checkedConn
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
-		connection, _ = got.Conn.(*checkedConn)
-		connection.expectAnswer()
-	}}
+	var connection atomic.Pointer[checkedConn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(got httptrace.GotConnInfo) {
+			conn, _ := got.Conn.(*checkedConn)
+			conn.expectAnswer()
+			connection.Store(conn)
+		},
+		WroteRequest: func(wrote httptrace.WroteRequestInfo) {
+			if wrote.Err == nil {
+				connection.Load().request.setWriting(false)
+			}
+		},
+	}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	response.Body = &checkedBody{ReadCloser: response.Body, response: response, closed: connection.release}
+	response.Body = &checkedBody{ReadCloser: response.Body, response: response, closed: connection.Load().release}
 	return response, nil
 }
 
-// tracked returns a dial function for connections on which a reset is no end of an answer.
-func tracked(dial DialFunc) DialFunc {
+// DialUpgrade returns a dial function for connections that begin with a request for another protocol. The
+// answer to it is checked as that to a client's request, but takes of memory until the connection is closed.
+func DialUpgrade(dial DialFunc, memory *Memory) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return NewConnection(conn), nil
-	}
-}
-
-// DialUpgrade returns a dial function for connections that begin with a request for another protocol. The
-// answer to it is checked as that to a client's request, but takes of memory until the connection is closed.
-func DialUpgrade(dial DialFunc, memory *Memory) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		return dialChecked(ctx, dial, network, address, &checkedConn{memory: memory, heads: headChecker{upgrades: true}})
-	}
-}
-
-// dialChecked opens the connection that checked checks.
-func dialChecked(ctx context.Context, dial DialFunc, network, address string, checked *checkedConn) (net.Conn, error) {
-	connection, err := dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+		return &checkedConn{Conn: conn, memory: memory, heads: headChecker{upgrades: true}}, nil
 	}
-	checked.Conn = connection
-	return checked, nil
 }
 
 // checkedConn checks the heads of the answers that come on a connection, one for each request.
 type checkedConn struct {
 	net.Conn
-	memory *Memory
+	request *connection // the same connection, nil if it is for another protocol
+	memory  *Memory
 
 	mu    sync.Mutex
 	heads headChecker
@@ -96,6 +94,7 @@
 // expectAnswer begins the next answer. It is called before its request is written.
 func (c *checkedConn) expectAnswer() {
 	c.release()
+	c.request.setWriting(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heads = headChecker{upgrades: c.heads.upgrades}
