--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -14,8 +14,8 @@
 
 // NewClient returns a client that uses transport, which it changes, and checks answers as ReadResponse does. It is
 // for connections without TLS. Heads that are longer than usual ones take of memory until the body is closed.
-// Errors may wrap a *MalformedError, ErrHeadTooLarge or a *NoMemoryError. A redirect is an answer like others: it
-// is not followed, which would carry a call out twice, or elsewhere.
+// Errors may wrap a *MalformedError, ErrHeadTooLarge, a *NoMemoryError, a *ResetError or an *UnreadRequestError. A
+// redirect is an answer like others: it is not followed, which would carry a call out twice, or elsewhere.
 func NewClient(transport *http.Transport, memory *Memory) *http.Client {
 	return &http.Client{
 		Transport:     newTransport(transport, memory),
