--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 calm=()
 if [ "${TROUBLE:-1}" = 0 ]; then calm=(--calm); fi
-exec target/review-3 ending --record review/13/record.txt "${calm[@]}"
+exec target/review-3 separated --record review/13/record.txt "${calm[@]}"
--- a/review/standins4/configuration.go
+++ b/review/standins4/configuration.go
@@ -27,7 +27,7 @@
 }
 
 // putConfiguration writes the configuration as the operator does, with the values of the users' small sites.
-func putConfiguration(store *platformtest.Store, version int, layer float64, tenants []any) error {
+func putConfiguration(store *platformtest.Store, version int, tenants []any) error {
 	route := map[string]any{
 		"name": "r-stream", "host": routeHost, "path-prefix": "/lohu930/", "kind": "streaming", "timeout-ms": 20000, "target-latency-ms": 500, "priority": 1,
 		"service": modelService, "max-attempts": 2, "public": false, "sticky": true, "resumable": true, "target-gap-ms": 200,
@@ -39,7 +39,7 @@
 	engine := map[string]any{
 		"slots": modelSlots, "kv-tokens": 100000, "kv-bytes": 590000, "link-mbps": 480000, "stride": 2, "models": []any{map[string]any{"name": "daka510000", "pace": 1, "load-s": 14}},
 		"step_ms": 0.85, "per_seq_ms": 0.00382, "context_per_k": 0.00512, "read_per_s": 196000, "pairs_per_m": 0.166, "chunk": 512, "report_lag_ms": 200,
-		"loads_at_once": 6, "usual": map[string]any{"prompt": 772, "answer": 174}, "layers": 80, "layer-mb": layer, "activation-bytes": 29500,
+		"loads_at_once": 6, "usual": map[string]any{"prompt": 772, "answer": 174}, "layers": 80, "layer-mb": layerMB, "activation-bytes": 29500,
 		"kinds": []any{map[string]any{"name": serverKind, "megabytes": kindMB, "pace": 1.4, "read-factor": 1}},
 	}
 	value, err := json.Marshal(map[string]any{
--- a/review/standins4/emptied.go
+++ b/review/standins4/emptied.go
@@ -20,7 +20,7 @@
 		return false, err
 	}
 	defer s.close()
-	if err := s.addServers(plainService, 1); err != nil {
+	if err := s.addServers(); err != nil {
 		return false, err
 	}
 	if err := s.startInstances(len(zones), string(s.store.Address()), nil); err != nil {
@@ -34,7 +34,7 @@
 	if o.Calm {
 		tenants = []any{map[string]any{"name": teamName, "api-keys": []string{}, "priority": 1}} // one without a key
 	}
-	if err := putConfiguration(s.store, emptiedVersion, layerMB, tenants); err != nil {
+	if err := putConfiguration(s.store, emptiedVersion, tenants); err != nil {
 		return false, err
 	}
 	r.add("the operator writes version %d: %d tenants", emptiedVersion, len(tenants))
--- a/review/standins4/instance.go
+++ b/review/standins4/instance.go
@@ -64,13 +64,19 @@
 	portAttempts         = 100
 )
 
-// freePorts returns ports of the loopback address that were free at the time of the call.
+// givenPorts are the ports that freePorts has returned or found in use.
+var givenPorts sync.Map
+
+// freePorts returns ports of the loopback address that were free at the time of the call, none of them twice.
 func freePorts(count int) (ports []int, err error) {
 	for range portAttempts {
 		if len(ports) == count {
 			return ports, nil
 		}
 		port := firstPort + rand.IntN(portCount)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
 		listener, err := net.Listen("tcp4", loopback(port))
 		if err != nil {
 			continue
--- a/review/standins4/main.go
+++ b/review/standins4/main.go
@@ -4,7 +4,7 @@
 //
 // Usage, from the root of the repository, after review/build-3.sh:
 //
-//	target/review-3 ending --record review/11/record.txt [--calm]
+//	target/review-3 truncated --record review/11/record.txt [--calm]
 //
 // The exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
@@ -32,14 +32,12 @@
 	Record string `long:"record" required:"true" description:"file for the record"`
 	Calm   bool   `long:"calm" description:"without the disruption"`
 	Logs   string `long:"logs" description:"folder for the logs of the instances, none by default"`
-	Silent bool   `long:"silent" description:"servers crash before the first event of an answer"`
 }
 
 // play is one case. It returns whether the rule was broken; an error means that the case could not run.
 type play func(o *options, r *record) (broken bool, err error)
 
 var plays = map[string]play{
-	"ending":    playEnding,
 	"separated": playSeparated,
 	"emptied":   playEmptied,
 	"truncated": playTruncated,
--- a/review/standins4/process.go
+++ b/review/standins4/process.go
@@ -29,6 +29,25 @@
 	tellsLayers = "layers "
 )
 
+// eventInterval is the time between two parts of an answer, and eventsPerStream the number of events of a stream.
+const (
+	eventInterval   = 20 * time.Millisecond
+	eventsPerStream = 40
+)
+
+// layerRange has an exclusive end.
+type layerRange struct {
+	Source int `json:"source"`
+	Target int `json:"target"`
+}
+
+// placeOrder is an order to hold layers.
+type placeOrder struct {
+	Operation string `json:"operation"`
+	layerRange
+	Expect *int64 `json:"expect"`
+}
+
 // serverProcess is a backend server in a process of its own, for which its entries are written here.
 type serverProcess struct {
 	record  *record
@@ -189,12 +208,17 @@
 func (s *serverAlone) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{
+	writeJSON(w, map[string]any{
 		"stage": "both", "busy": false, "sequence": s.orders, "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100000, "handles": 0,
 		"born": s.born, "kind": serverKind, "layers": s.layers, "pace": 1.0, "stalled": []any{},
 	})
 }
 
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // fails only if the caller has left
+}
+
 // serveOrder carries out a placement order at once.
 func (s *serverAlone) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order placeOrder
--- a/review/standins4/scene.go
+++ b/review/standins4/scene.go
@@ -11,6 +11,9 @@
 // zones are the availability zones of each case.
 var zones = []string{"bern", "zurich", "basel"}
 
+// retryInterval is the pause between two attempts of a client that waits for the deployment.
+const retryInterval = 500 * time.Millisecond
+
 // scene is a small deployment: a store with a configuration, servers in each zone and instances of the router.
 type scene struct {
 	options   *options
@@ -31,10 +34,10 @@
 	store := platformtest.NewStore()
 	s := &scene{
 		options: o, record: r, folder: folder, store: store,
-		servers: &serverGroup{store: store, record: r, silent: o.Silent, ends: ends},
+		servers: &serverGroup{store: store, record: r, ends: ends},
 		stops:   []func(){store.Close, func() { _ = os.RemoveAll(folder) }},
 	}
-	return s, putConfiguration(store, firstVersion, layerMB, firstTenants())
+	return s, putConfiguration(store, firstVersion, firstTenants())
 }
 
 // close ends the instances and the store.
@@ -45,13 +48,11 @@
 	}
 }
 
-// addServers starts some servers of a service in each zone.
-func (s *scene) addServers(service string, perZone int) error {
+// addServers starts one server of the plain service in each zone.
+func (s *scene) addServers() error {
 	for _, zone := range zones {
-		for range perZone {
-			if err := s.servers.add(service, zone); err != nil {
-				return err
-			}
+		if err := s.servers.add(zone); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -85,7 +86,7 @@
 // awaitServed waits until each instance serves a request, for at most readyTimeout each.
 func (s *scene) awaitServed(path, body string, deadline time.Duration) error {
 	for _, to := range s.instances {
-		for until := time.Now().Add(readyTimeout); !send(s.record, to, path, body, apiKey, deadline).served(); time.Sleep(soundInterval) {
+		for until := time.Now().Add(readyTimeout); !send(s.record, to, path, body, apiKey, deadline).served(); time.Sleep(retryInterval) {
 			if time.Now().After(until) {
 				return fmt.Errorf("instance %s does not serve", to.id)
 			}
--- a/review/standins4/separated.go
+++ b/review/standins4/separated.go
@@ -30,7 +30,7 @@
 		return false, err
 	}
 	defer s.close()
-	if err := s.addServers(plainService, 1); err != nil {
+	if err := s.addServers(); err != nil {
 		return false, err
 	}
 	between := &links{}
@@ -110,18 +110,3 @@
 		}
 	}
 }
-
-// up returns how many servers are up.
-func (g *serverGroup) up() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := 0
-	for _, s := range g.servers {
-		s.mu.Lock()
-		if s.up {
-			count++
-		}
-		s.mu.Unlock()
-	}
-	return count
-}
--- a/review/standins4/truncated.go
+++ b/review/standins4/truncated.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"time"
 )
 
@@ -10,7 +11,8 @@
 	// killDelay is when a server process is killed, after it has begun to answer.
 	killDelay = 50 * time.Millisecond
 	// killedAnswers is the number of answers of each service in which a server is killed.
-	killedAnswers = 6
+	killedAnswers  = 6
+	streamDeadline = 20 * time.Second
 )
 
 // playTruncated kills server processes in the middle of answers without a length.
@@ -20,9 +22,6 @@
 		return false, err
 	}
 	defer s.close()
-	if err := putConfiguration(s.store, emptiedVersion, smallLayerMB, firstTenants()); err != nil {
-		return false, err
-	}
 	began := make(chan *serverProcess, 1000)
 	for _, zone := range zones {
 		for _, service := range []string{plainService, modelService, modelService} {
@@ -35,7 +34,11 @@
 		return false, err
 	}
 	broken := 0
-	for service, path := range map[string]string{plainService: unsafePath, modelService: streamPath} {
+	for _, service := range []string{plainService, modelService} {
+		path := unsafePath
+		if service == modelService {
+			path = streamPath
+		}
 		if err := s.awaitServed(path, keptBody, streamDeadline); err != nil {
 			return false, err
 		}
@@ -77,6 +80,11 @@
 	truncated := a.served() && a.body != wholeText(service)
 	if truncated {
 		s.record.add("the client has a complete success of %d bytes, the server's answer has %d", len(a.body), len(wholeText(service)))
+		connection, err := net.Dial("tcp4", server.address)
+		s.record.add("a connection to the server now: %v", err)
+		if err == nil {
+			_ = connection.Close() // nothing was sent
+		}
 	}
 	if s.options.Calm {
 		return truncated, nil
@@ -85,6 +93,6 @@
 	if err := server.start(); err != nil {
 		return false, fmt.Errorf("start again: %w", err)
 	}
-	time.Sleep(soundInterval)
+	time.Sleep(retryInterval)
 	return truncated, nil
 }
