ROUTE: a list of teams that is empty allows no key

Cause: the decoder made the same empty slice of a list that is not there, which asks for no key, and of one that is empty, which allows none; Decide let everybody pass if the slice was empty. An empty key in a list also let requests without a key in.

Change: Configuration.RequiresKey says whether the list is there. An empty key is never valid.

Tests, which failed before: TestKeysOfConfigurations (three of six documents), TestScripts/teams-emptied.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -99,8 +99,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Teams is empty if requests need no API key.
-	Teams []TeamKeys
+	// RequiresKey is set if a request needs the API key of a team, unless its route is public. It may be set
+	// without any team: then no key is valid.
+	RequiresKey bool
+	Teams       []TeamKeys
 }
 
 // Route maps the requests for a host and path prefix to services.
@@ -126,7 +128,7 @@
 	Weight  float64
 }
 
-// TeamKeys is a team with its valid API keys.
+// TeamKeys is a team with its valid API keys. An empty one is never valid.
 type TeamKeys struct {
 	Team     Team
 	APIKeys  []APIKey
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -46,7 +46,8 @@
 //	configure 1 key          writes a configuration with a version; "key" includes the
 //	                         team's API key, any other word leaves it out; "attempts=1"
 //	                         and "idle=4000" set the max-attempts of streams and the
-//	                         idle timeout of clients in milliseconds
+//	                         idle timeout of clients in milliseconds; "teams=empty" makes
+//	                         the list of teams empty
 //	retries 0.2 10           sets the ratio and the reserve of the retry budget of routers
 //	                         that are started later
 //	deadline 5000            sets the deadline of requests that are started later, in
@@ -380,6 +381,9 @@
 			configuration.StreamAttempts = sr.number(value)
 		case "idle":
 			configuration.IdleTimeout = sr.milliseconds(value)
+		case "teams":
+			assert.Equal(sr.t, value, "empty")
+			configuration.NoTeams = true
 		default:
 			sr.t.Fatalf("unknown part of a configuration %q", argument)
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -49,7 +49,9 @@
 	}
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].APIKeys {
-			t.teams[key] = &c.Teams[i]
+			if key != "" { // what a request without a key has
+				t.teams[key] = &c.Teams[i]
+			}
 		}
 	}
 	for i := range c.Services {
@@ -77,7 +79,7 @@
 // Decision is the route, team and rank of a request.
 type Decision struct {
 	Route     *deployment.Route
-	Team      deployment.Team // empty if no team's key was given or the configuration has no teams
+	Team      deployment.Team // empty if no team's key was given
 	Rank      Rank
 	TeamCount int // number of teams in the configuration
 }
@@ -109,21 +111,17 @@
 		return Decision{}, &NoRouteError{Host: host, Path: path}
 	}
 	decision := Decision{Route: route, Rank: Rank{Priority: route.Priority, Route: route.Priority}, TeamCount: len(t.configuration.Teams)}
-	if len(t.configuration.Teams) == 0 {
-		return decision, nil
-	}
 	team, ok := t.teams[key]
-	if ok {
+	switch {
+	case ok:
 		decision.Team = team.Team
 		if team.HasPriority {
 			decision.Rank.Priority = team.Priority
 		}
-		return decision, nil
-	}
-	if route.Public {
-		return decision, nil
+	case t.configuration.RequiresKey && !route.Public:
+		return Decision{}, &UnknownKeyError{Route: route.Name}
 	}
-	return Decision{}, &UnknownKeyError{Route: route.Name}
+	return decision, nil
 }
 
 func (t *Table) match(host, path string) *deployment.Route {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -20,6 +20,7 @@
 			{Name: "deep", Host: "a.example", PathPrefix: "/x/y/", Priority: 2},
 			{Name: "open", Host: "b.example", PathPrefix: "/", Public: true},
 		},
+		RequiresKey: true,
 		Teams: []deployment.TeamKeys{
 			{Team: "one", APIKeys: []deployment.APIKey{"k1", "k2"}},
 			{Team: "two", APIKeys: []deployment.APIKey{"k3"}, Priority: 0, HasPriority: true},
