BUDGET: the store carries the evidence on ends of servers where peers can't

Cause: what holds a request back was told from instance to instance. The record in the store was read at a start only, was empty until one instance alone had seen two ends, and was replaced by an instance that takes itself for the first of its zone, unread.

Change: one record, which a writer replaces only at the offset up to which it has merged all. An instance that may not reach all others writes all that it knows. Who reads the store for others, or hears from none that does, waits for new records and tells its peers. Decided by poison.Tracker.Record.

--- a/internal/gateway/heldback.go
+++ b/internal/gateway/heldback.go
@@ -58,11 +58,12 @@
 	return g.ends.evidence(now)
 }
 
-// LastingPoisonEvidence returns what of it must outlive all instances, empty if nothing must.
-func (g *Gateway) LastingPoisonEvidence(now time.Time) poison.Evidence {
+// PoisonRecord returns what is to replace what is kept of it outside of the instances, and whether it must; see
+// poison.Tracker.Record.
+func (g *Gateway) PoisonRecord(now time.Time, kept poison.Evidence, separated bool) (poison.Evidence, bool) {
 	g.ends.mu.Lock()
 	defer g.ends.mu.Unlock()
-	return g.ends.tracker.Lasting(now)
+	return g.ends.tracker.Record(now, kept, separated)
 }
 
 // partsField returns the log field that names the parts of a request's prompt.
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -145,6 +145,30 @@
 	return false
 }
 
+// MissingLinks are the links that an instance lacks of those that it should have.
+type MissingLinks struct {
+	InZone bool // to an instance of its zone
+	ToZone bool // to all instances of another zone to which it is a bridge
+}
+
+// missingLinks returns which links to known instances are missing.
+func (m *Membership) missingLinks(linked func(instancelist.ID) bool) MissingLinks {
+	var missing MissingLinks
+	reached := map[instancelist.Zone]bool{}
+	for id, other := range m.members {
+		if id == m.self {
+			continue
+		}
+		zone, isLinked := other.instance.Zone, linked(id)
+		missing.InZone = missing.InZone || zone == m.zone && !isLinked
+		reached[zone] = reached[zone] || isLinked
+	}
+	for zone, isReached := range reached {
+		missing.ToZone = missing.ToZone || zone != m.zone && !isReached && m.isBridge(zone)
+	}
+	return missing
+}
+
 // highestWeighted returns the count instances with the greatest rendezvous weights for
 // an item, so that the links to a zone spread over its instances. It reorders list.
 func highestWeighted(item string, list []instancelist.Instance, count int) []instancelist.Instance {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -181,6 +181,13 @@
 	return m.membership.isBridge(zone)
 }
 
+// MissingLinks returns which links this instance lacks. What is broadcast may not reach all instances then.
+func (m *Mesh) MissingLinks() MissingLinks {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.membership.missingLinks(func(id instancelist.ID) bool { return m.links[id] != nil })
+}
+
 // Stats returns the current counts.
 func (m *Mesh) Stats() Stats {
 	m.mu.Lock()
--- a/internal/poison/lasting.go
+++ b/internal/poison/lasting.go
@@ -22,6 +22,11 @@
 	if len(v.held) == 0 && len(v.suspects) == 0 {
 		return Evidence{}
 	}
+	return t.lastingOf(v, now)
+}
+
+// lastingOf returns the evidence that bears on the keys that verdicts accuse.
+func (t *Tracker) lastingOf(v *verdicts, now time.Time) Evidence {
 	lasting := t.Evidence(now)
 	keys := 0
 	for i := range lasting.Ends {
--- a/internal/router/consumer.go
+++ b/internal/router/consumer.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// receivesPushes reports whether a peer reads the topic for this instance.
+func (c *consumer) receivesPushes(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reader.ReceivesPushes(now)
+}
+
 // setIsolated sets whether this instance has no links to others.
 func (c *consumer) setIsolated(isolated bool) {
 	c.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -43,6 +43,7 @@
 		announced: make(chan struct{}, 1),
 	}
 	r.backendList.relay = r.newRelay(r.backendList)
+	r.newPoisonRecords()
 }
 
 // followConfiguration keeps the newest configuration active until ctx ends.
--- a/internal/router/newestconfiguration.go
+++ b/internal/router/newestconfiguration.go
@@ -53,9 +53,7 @@
 // applyConfigurations puts the newest configuration into force until ctx ends. After each it
 // rests as long as it took, so that other work gets its part of the processor.
 func (r *Router) applyConfigurations(ctx context.Context) {
-	if !r.readPoisonRecords(ctx) { // no request is routed before
-		go r.retryPoisonRecords(ctx)
-	}
+	r.readPoisonRecords(ctx) // no request is routed before
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/router/poisonrecord_test.go
+++ b/internal/router/poisonrecord_test.go
@@ -26,9 +26,9 @@
 	r := newRouter(deployment.Settings{Instance: "a", Zone: "zone-a", StoreAddress: store.Address(), PeerAddress: "127.0.0.1:1"}, Options{Output: io.Discard})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go r.applyConfigurations(ctx)
-	go r.keepPoisonEvidence(ctx)
-	time.Sleep(poisonWriteInterval) // the first read has failed
+	r.readPoisonRecords(ctx) // fails
+	go r.followPoisonRecords(ctx)
+	go r.keepPoisonRecord(ctx)
 	r.gateway.MergePoisonEvidence(now, "peer", poison.Evidence{Trials: []poison.KeyAge{{Key: 8}}})
 	store.SetFault(platformtest.StoreHealthy)
 	for start := time.Now(); time.Since(start) < waitTimeout; time.Sleep(poisonWriteInterval) {
@@ -38,3 +38,29 @@
 	}
 	t.Fatal("the record was not read")
 }
+
+// TestRecordReplacesWhatItsWriterHasNotRead guards against an instance that takes itself for the first of its zone
+// and replaces what others have written, so that nobody learns of it any more.
+func TestRecordReplacesWhatItsWriterHasNotRead(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var routers []*Router
+	for i, id := range []deployment.InstanceID{"a", "b"} {
+		r := newRouter(deployment.Settings{Instance: id, Zone: "zone-a", StoreAddress: store.Address(), PeerAddress: "127.0.0.1:1"}, Options{Output: io.Discard})
+		r.readPoisonRecords(ctx)
+		now := time.Now()
+		r.gateway.MergePoisonEvidence(now, "peer", poison.Evidence{Ends: []poison.End{{
+			Incarnation: deployment.Incarnation{Server: deployment.BackendID(id)}, Blamed: []poison.Blamed{{Attempt: poison.Attempt(i), Keys: []poison.Key{7}}},
+		}}})
+		routers = append(routers, r)
+	}
+	for _, r := range routers { // the second one has not read what the first one writes
+		r.writePoisonRecord(ctx, true)
+	}
+	starting := newRouter(deployment.Settings{Instance: "c", Zone: "zone-a", StoreAddress: store.Address(), PeerAddress: "127.0.0.1:1"}, Options{Output: io.Discard})
+	starting.readPoisonRecords(ctx)
+	evidence, _ := starting.gateway.PoisonEvidence(time.Now())
+	assert.Equal(t, len(evidence.Ends), len(routers))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -135,7 +135,7 @@
 
 	configurations      *consumer
 	newestConfiguration *newestConfiguration
-	poisonRead          atomic.Bool // what earlier instances have kept of ends of backend servers was read
+	poisonRecords       *poisonRecords
 	backendList         *consumer
 	answers             *rate.Limiter // of records to peers that ask
 	readyLogged         sync.Once
@@ -280,7 +280,8 @@
 	go r.followInstances(untilDrained)
 	go r.broadcastLoads(untilDrained)
 	go r.sharePoisonEvidence(untilDrained)
-	go r.keepPoisonEvidence(untilDrained)
+	go r.followPoisonRecords(untilDrained)
+	go r.keepPoisonRecord(untilDrained)
 	go r.keepRegistered(untilShutdown)
 	go r.controller.Run(untilShutdown)
 }
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -125,6 +125,11 @@
 //	restart-under-ids        makes these servers start again under the ids that they had, and write
 //	                         their entries a while later
 //	few-ends                 checks that it hardly ran later than 3 s after it had ended three servers
+//	linked                   waits until the routers are linked with one another
+//	separate a b             cuts routers off from all others, but not from the store, the
+//	                         servers and their clients; "rejoin" ends that
+//	meet a a b               sends the request that ends servers to routers in turn, each time
+//	                         once three servers run
 //	left-alone               checks that servers got no request of the steady load from routers that
 //	                         had returned such a response (see checkLeftAlone)
 //
@@ -189,6 +194,8 @@
 
 type testRouter struct {
 	settings deployment.Settings
+	router   *Router
+	peers    *platformtest.PeerCut
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -361,6 +368,14 @@
 		sr.cluster.RestartUnderIDs()
 	case "few-ends":
 		sr.checkFewEnds()
+	case "linked":
+		sr.awaitPeers()
+	case "separate":
+		sr.separate(fields[1:], true)
+	case "rejoin":
+		sr.separate(fields[1:], false)
+	case "meet":
+		sr.meet(fields[1:])
 	default:
 		return false
 	}
@@ -478,8 +493,11 @@
 		RetryRatio:    sr.retryRatio, RetryWindow: 10 * time.Second, RetryReserve: sr.retryReserve,
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := newRouter(settings, Options{MetricsPort: freePort(sr.t), Output: sr.logOutput(name), WrapDial: sr.cluster.Links().For(settings.Instance)})
-	started := &testRouter{settings: settings, stop: stop, done: make(chan error, 1)}
+	peers := platformtest.NewPeerCut()
+	r := newRouter(settings, Options{
+		MetricsPort: freePort(sr.t), Output: sr.logOutput(name), WrapDial: sr.cluster.Links().For(settings.Instance), WrapPeerConnection: peers.Wrap,
+	})
+	started := &testRouter{settings: settings, router: r, peers: peers, stop: stop, done: make(chan error, 1)}
 	sr.routers[name] = started
 	go func() { started.done <- r.run(ctx) }()
 }
