--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -19,16 +19,16 @@
 )
 
 // Record returns the evidence that is to replace what is kept outside of the instances, and whether it must. kept is
-// what is kept there, as of now; what it tells must have been merged. separated is set if this instance may not be
+// what is kept there, as of now; what it tells must have been merged. partitioned is set if this instance may not be
 // able to tell all others what it knows.
 //
-// Evidence that makes a key suspected or held is kept always. A separated instance has all kept that it knows: what
+// Evidence that makes a key suspected or held is kept always. A partitioned instance has all kept that it knows: what
 // it has seen counts together with what others have. What is kept is replaced, too, if it speaks against a key that
 // an answer has cleared here since.
-func (t *Tracker) Record(now time.Time, kept Evidence, separated bool) (record Evidence, due bool) {
+func (t *Tracker) Record(now time.Time, kept Evidence, partitioned bool) (record Evidence, due bool) {
 	needed := t.Lasting(now)
 	needed.Ends = slices.DeleteFunc(needed.Ends, func(e End) bool { return len(e.Blamed) == 0 })
-	if separated {
+	if partitioned {
 		needed = t.record(now)
 	}
 	if kept.covers(needed) && !t.clears(now, kept) {
--- a/internal/poison/record_test.go
+++ b/internal/poison/record_test.go
@@ -17,21 +17,21 @@
 	number   int
 }
 
-// separatedInstance is an instance that only the store tells anything.
-type separatedInstance struct {
+// partitionedInstance is an instance that only the store tells anything.
+type partitionedInstance struct {
 	tracker *Tracker
 	kept    Evidence // as of keptAt
 	keptAt  time.Time
 	read    int // number of the record that it has read
 }
 
-func (i *separatedInstance) readRecord(now time.Time, store *keptRecord) {
+func (i *partitionedInstance) readRecord(now time.Time, store *keptRecord) {
 	i.kept, i.keptAt, i.read = store.evidence.Older(now.Sub(store.at)), now, store.number
 	i.tracker.Merge(now, i.kept)
 }
 
 // write writes a record if one is due, and reports whether the store took one.
-func (i *separatedInstance) write(now time.Time, store *keptRecord) bool {
+func (i *partitionedInstance) write(now time.Time, store *keptRecord) bool {
 	record, due := i.tracker.Record(now, i.kept.Older(now.Sub(i.keptAt)), true)
 	if !due || i.read != store.number {
 		return false
@@ -41,15 +41,15 @@
 	return true
 }
 
-// TestProveSeparatedInstancesHoldTheSameKeys guards against instances that are cut off from one another and hold
+// TestProvePartitionedInstancesHoldTheSameKeys guards against instances that are cut off from one another and hold
 // other keys than one that has seen everything, and against records that are written again and again. They read and
 // write the record in any order, and an end may be seen by several of them.
-func TestProveSeparatedInstancesHoldTheSameKeys(t *testing.T) {
+func TestProvePartitionedInstancesHoldTheSameKeys(t *testing.T) {
 	prove.Random(t, func(t *rapid.T) {
 		all, store := NewTracker(0), &keptRecord{}
-		instances := make([]*separatedInstance, rapid.IntRange(2, 5).Draw(t, "instances"))
+		instances := make([]*partitionedInstance, rapid.IntRange(2, 5).Draw(t, "instances"))
 		for i := range instances {
-			instances[i] = &separatedInstance{tracker: NewTracker(0)}
+			instances[i] = &partitionedInstance{tracker: NewTracker(0)}
 		}
 		some := rapid.SampledFrom(instances)
 		now := start
@@ -83,7 +83,7 @@
 }
 
 // settle lets instances read and write until none writes, which each of them does twice at most.
-func settle(t *rapid.T, now time.Time, instances []*separatedInstance, store *keptRecord) {
+func settle(t *rapid.T, now time.Time, instances []*partitionedInstance, store *keptRecord) {
 	for wrote, writes := true, 0; wrote; {
 		wrote = false
 		for _, i := range instances {
--- a/internal/router/consumer.go
+++ b/internal/router/consumer.go
@@ -135,6 +135,14 @@
 	return c.reader.ReceivesPushes(now)
 }
 
+// storeAway reports whether the store is away as far as this instance knows: its last call has failed, and no peer
+// reads the topic for it.
+func (c *consumer) storeAway(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reader.Fails() && !c.reader.ReceivesPushes(now)
+}
+
 // setIsolated sets whether this instance has no links to others.
 func (c *consumer) setIsolated(isolated bool) {
 	c.mu.Lock()
--- a/internal/router/peercut_test.go
+++ b/internal/router/partition_test.go
@@ -6,22 +6,22 @@
 	"mulberryhead.org/mulberryhead/internal/peer"
 )
 
-// meetInterval is the pause between two meetings of the request that ends servers.
-const meetInterval = 300 * time.Millisecond
+// endingInterval is the pause between two sends of sendEndingAt.
+const endingInterval = 300 * time.Millisecond
 
-// separate cuts routers off from all their peers, or ends that.
-func (sr *scriptRunner) separate(routers []string, cut bool) {
+// partition cuts routers off from all their peers, or ends that.
+func (sr *scriptRunner) partition(routers []string, cut bool) {
 	for _, name := range routers {
 		sr.routers[name].peers.Set(cut)
 	}
 }
 
-// meet sends the request that ends servers to routers in turn, one after the other, each once enough servers run.
-func (sr *scriptRunner) meet(routers []string) {
+// sendEndingAt sends the request that ends servers to routers in turn, one after the other, each once enough servers run.
+func (sr *scriptRunner) sendEndingAt(routers []string) {
 	for _, name := range routers {
-		sr.await("meet", func() bool { return sr.cluster.Up() >= endsToKnow })
+		sr.await("ending-at", func() bool { return sr.cluster.Up() >= endsToKnow })
 		sr.request(name, "any/ends")
-		time.Sleep(meetInterval)
+		time.Sleep(endingInterval)
 	}
 }
 
--- a/internal/router/poisonrecord_test.go
+++ b/internal/router/poisonrecord_test.go
@@ -57,7 +57,7 @@
 		routers = append(routers, r)
 	}
 	for _, r := range routers { // the second one has not read what the first one writes
-		r.writePoisonRecord(ctx, true)
+		assert.NilError(t, r.writePoisonRecord(ctx, true))
 	}
 	starting := newRouter(deployment.Settings{Instance: "c", Zone: "zone-a", StoreAddress: store.Address(), PeerAddress: "127.0.0.1:1"}, Options{Output: io.Discard})
 	starting.readPoisonRecords(ctx)
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -126,9 +126,9 @@
 //	                         their entries a while later
 //	few-ends                 checks that it hardly ran later than 3 s after it had ended three servers
 //	linked                   waits until the routers are linked with one another
-//	separate a b             cuts routers off from all others, but not from the store, the
-//	                         servers and their clients; "rejoin" ends that
-//	meet a a b               sends the request that ends servers to routers in turn, each time
+//	partition a b            cuts routers off from all others, but not from the store, the
+//	                         servers and their clients; "heal" ends that
+//	ending-at a a b          sends the request that ends servers to routers in turn, each time
 //	                         once three servers run
 //	left-alone               checks that servers got no request of the steady load from routers that
 //	                         had returned such a response (see checkLeftAlone)
@@ -370,12 +370,12 @@
 		sr.checkFewEnds()
 	case "linked":
 		sr.awaitPeers()
-	case "separate":
-		sr.separate(fields[1:], true)
-	case "rejoin":
-		sr.separate(fields[1:], false)
-	case "meet":
-		sr.meet(fields[1:])
+	case "partition":
+		sr.partition(fields[1:], true)
+	case "heal":
+		sr.partition(fields[1:], false)
+	case "ending-at":
+		sr.sendEndingAt(fields[1:])
 	default:
 		return false
 	}
