BUDGET: the first of a zone reads the evidence for its zone, and hears sooner of a cut

Change: the first of a zone reads, as it sees it, and tells its peers what was new. A link on which a heartbeat is missing for 0.5 s counts as missing, for this alone.

--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -151,7 +151,7 @@
 	ToZone bool // to all instances of another zone to which it is a bridge
 }
 
-// missingLinks returns which links to known instances are missing.
+// missingLinks returns which links to known instances are missing. linked tells whether one is there.
 func (m *Membership) missingLinks(linked func(instancelist.ID) bool) MissingLinks {
 	var missing MissingLinks
 	reached := map[instancelist.Zone]bool{}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -27,6 +27,8 @@
 	heartbeatInterval = 1 * time.Second
 	// heartbeatTimeout is how long a link may bring no data before it is closed.
 	heartbeatTimeout = 3 * time.Second
+	// maxHeartbeatGap is how long a link may bring no data before its peer may be out of reach.
+	maxHeartbeatGap  = heartbeatInterval * 3 / 2
 	maintainInterval = 250 * time.Millisecond
 	membersInterval  = 10 * time.Second
 	forwardTimeout   = 15 * time.Second
@@ -181,11 +183,31 @@
 	return m.membership.isBridge(zone)
 }
 
-// MissingLinks returns which links this instance lacks. What is broadcast may not reach all instances then.
-func (m *Mesh) MissingLinks() MissingLinks {
+// MissingLinks returns which links this instance lacks or hears nothing on. What is broadcast may not reach all
+// instances then.
+func (m *Mesh) MissingLinks(now time.Time) MissingLinks {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.membership.missingLinks(func(id instancelist.ID) bool { return m.links[id] != nil })
+	return m.membership.missingLinks(func(id instancelist.ID) bool { return m.hears(now, id) })
+}
+
+// FirstInZone reports whether this instance has the smallest ID of the active ones of its zone that it hears.
+func (m *Mesh) FirstInZone(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, l := range m.links {
+		active := l.peer.Zone == m.config.Self.Zone && !l.leaving.Load() && m.hears(now, id)
+		if active && (m.leaving || id < m.config.Self.Instance) {
+			return false
+		}
+	}
+	return true
+}
+
+// hears reports whether there is a link to an instance that has brought data lately. The caller holds m.mu.
+func (m *Mesh) hears(now time.Time, id instancelist.ID) bool {
+	l := m.links[id]
+	return l != nil && l.silence.silentFor(now) < maxHeartbeatGap
 }
 
 // Stats returns the current counts.
--- a/internal/peer/silence.go
+++ b/internal/peer/silence.go
@@ -40,6 +40,13 @@
 	s.due = time.Now().Add(heartbeatTimeout)
 }
 
+// silentFor returns how long the link has been silent.
+func (s *silenceTimer) silentFor(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.due) + heartbeatTimeout
+}
+
 // setBusy records whether a message is being handled.
 func (s *silenceTimer) setBusy(busy bool) {
 	s.mu.Lock()
--- a/internal/router/partition_test.go
+++ b/internal/router/partition_test.go
@@ -29,7 +29,7 @@
 func (sr *scriptRunner) awaitPeers() {
 	sr.await("linked", func() bool {
 		for _, r := range sr.routers {
-			if len(r.router.mesh.Connected()) == 0 || r.router.mesh.MissingLinks() != (peer.MissingLinks{}) {
+			if len(r.router.mesh.Connected()) == 0 || r.router.mesh.MissingLinks(time.Now()) != (peer.MissingLinks{}) {
 				return false
 			}
 		}
--- a/internal/router/poisonstore.go
+++ b/internal/router/poisonstore.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
-	"mulberryhead.org/mulberryhead/internal/instancelist"
 	"mulberryhead.org/mulberryhead/internal/peer"
 	"mulberryhead.org/mulberryhead/internal/poison"
 	"mulberryhead.org/mulberryhead/internal/topiccache"
@@ -79,8 +78,8 @@
 	r.applyPoisonRecords(records)
 }
 
-// applyPoisonRecords merges records. If this instance reads the store for others, it tells them what is new: the
-// instances that could not tell them have put it there.
+// applyPoisonRecords merges records, and tells the peers what was new: instances that could not tell them have put it
+// there.
 func (r *Router) applyPoisonRecords(records []platform.Record) {
 	now := time.Now()
 	for _, record := range records {
@@ -97,9 +96,7 @@
 			continue
 		}
 		r.logger.Info("evidence on ends of backend servers read", zap.Int("ends", len(news.Ends)), zap.String("key", record.Key))
-		if r.relayRole().readsStore {
-			r.mesh.Broadcast(peer.PoisonEvidence{Evidence: news})
-		}
+		r.mesh.Broadcast(peer.PoisonEvidence{Evidence: news})
 	}
 }
 
@@ -112,19 +109,18 @@
 	}
 }
 
-// readsPoisonRecords reports whether this instance reads the records itself: it reads the store for others, or hears
-// from none that does. The others hear of new evidence from their peers.
+// readsPoisonRecords reports whether this instance reads the records itself: it reads the store for others, or is the
+// first of a zone that hears from none that does. The others hear of new evidence from their peers.
 func (r *Router) readsPoisonRecords(now time.Time) bool {
-	return r.relayRole().readsStore || !r.backendList.receivesPushes(now)
+	return r.relayRole().readsStore || !r.backendList.receivesPushes(now) && r.mesh.FirstInZone(now)
 }
 
 // partitioned reports whether this instance has all that it knows of ends of backend servers kept, for instances that
-// its peers and it can't tell: it hears from none that reads the store for it, it has lost its links to a zone, or it
-// is the first of a zone whose instances are not all linked.
+// its peers and it can't tell: it hears nothing of a zone to which it is a bridge, or is the first of a zone in which
+// it does not hear all.
 func (r *Router) partitioned(now time.Time) bool {
-	missing := r.mesh.MissingLinks()
-	unheard := !r.relayRole().readsStore && !r.backendList.receivesPushes(now)
-	return unheard || missing.ToZone || missing.InZone && r.firstInZone()
+	missing := r.mesh.MissingLinks(now)
+	return missing.ToZone || missing.InZone && r.mesh.FirstInZone(now)
 }
 
 // followPoisonRecords reads new records while this instance has to, until ctx ends. What was kept before it started
@@ -156,7 +152,7 @@
 		sleep(ctx, poisonWriteInterval)
 		now := time.Now()
 		partitioned := r.partitioned(now)
-		if !partitioned && !r.firstInZone() || r.backendList.storeAway(now) {
+		if !partitioned && !r.mesh.FirstInZone(now) || r.backendList.storeAway(now) {
 			continue
 		}
 		if err := r.writePoisonRecord(ctx, partitioned); err != nil {
@@ -166,12 +162,6 @@
 	}
 }
 
-// firstInZone reports whether no instance of this zone that this one is linked with has a smaller id.
-func (r *Router) firstInZone() bool {
-	active := r.mesh.ActiveInZone()
-	return len(active) == 0 || active[0] == instancelist.ID(r.settings.Instance)
-}
-
 // writePoisonRecord writes a record if one is due. The store takes it only if this instance has read all records
 // before it, so that none replaces what its writer has not merged; else it reads them and decides anew.
 func (r *Router) writePoisonRecord(ctx context.Context, partitioned bool) error {
