--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -46,13 +46,14 @@
 		keys += countKeys(e.Blamed)
 	}
 	for i := range slices.Backward(record.Ends) {
-		for _, b := range t.wireEnd(now, record.Ends[i].Incarnation).Blamed {
-			if keys += len(b.Keys); keys > maxRecordKeys {
-				break
-			}
-			if !slices.ContainsFunc(record.Ends[i].Blamed, func(has Blamed) bool { return has.Attempt == b.Attempt }) {
-				record.Ends[i].Blamed = append(record.Ends[i].Blamed, b)
+		e := &record.Ends[i]
+		for _, b := range t.wireEnd(now, e.Incarnation).Blamed {
+			has := slices.ContainsFunc(e.Blamed, func(other Blamed) bool { return other.Attempt == b.Attempt })
+			if has || keys+len(b.Keys) > maxRecordKeys {
+				continue
 			}
+			keys += len(b.Keys)
+			e.Blamed = append(e.Blamed, b)
 		}
 	}
 	record.Begun = t.begunOf(now, record.Ends)
--- a/internal/router/poisonstore.go
+++ b/internal/router/poisonstore.go
@@ -43,6 +43,8 @@
 	written uint64
 }
 
+// newPoisonRecords creates the follower of poisonTopic. No peer reads the topic for others: what it tells is evidence,
+// which peers send one another.
 func (r *Router) newPoisonRecords() {
 	r.poisonRecords = &poisonRecords{consumer: &consumer{
 		store: r.store, logger: r.logger, topic: poisonTopic, wait: poisonReadWait,
