--- a/internal/router/newestconfiguration.go
+++ b/internal/router/newestconfiguration.go
@@ -54,6 +54,7 @@
 // rests as long as it took, so that other work gets its part of the processor.
 func (r *Router) applyConfigurations(ctx context.Context) {
 	r.readPoisonRecords(ctx) // no request is routed before
+	go r.followPoisonRecords(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -280,7 +280,6 @@
 	go r.followInstances(untilDrained)
 	go r.broadcastLoads(untilDrained)
 	go r.sharePoisonEvidence(untilDrained)
-	go r.followPoisonRecords(untilDrained)
 	go r.keepPoisonRecord(untilDrained)
 	go r.keepRegistered(untilShutdown)
 	go r.controller.Run(untilShutdown)
