BUDGET: a record is not replaced by who merges it while it decides

Cause: the writer of the record computed the evidence first and took the offset up to which all is merged afterwards. A record that its reader merged in between was replaced without being in the new one, and its writer did not write again. Change: the offset is taken first. What is merged later is at most read once more.

--- a/internal/router/poisonrecord_test.go
+++ b/internal/router/poisonrecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"mulberryhead.org/mulberryhead/internal/deployment"
 	"mulberryhead.org/mulberryhead/internal/poison"
+	"mulberryhead.org/mulberryhead/internal/topiccache"
 	"mulberryhead.org/mulberryhead/platform/platformtest"
 )
 
@@ -64,3 +66,43 @@
 	evidence, _ := starting.gateway.PoisonEvidence(time.Now())
 	assert.Equal(t, len(evidence.Ends), len(routers))
 }
+
+// TestRecordIsReplacedWhileItIsRead guards against a record that is replaced by an instance that has decided what to
+// write before it merged it, as its reader did so meanwhile.
+func TestRecordIsReplacedWhileItIsRead(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	newInstance := func(id deployment.InstanceID) *Router {
+		r := newRouter(deployment.Settings{Instance: id, Zone: "zone-a", StoreAddress: store.Address(), PeerAddress: "127.0.0.1:1"}, Options{Output: io.Discard})
+		r.readPoisonRecords(ctx)
+		return r
+	}
+	routers := []*Router{newInstance("a"), newInstance("b"), newInstance("c")}
+	for _, r := range routers {
+		go func() {
+			for c := r.poisonRecords.consumer; ctx.Err() == nil; {
+				next, _ := c.position()
+				_ = c.do(ctx, topiccache.ReadChanges{From: next}, 0)
+			}
+		}()
+	}
+	const rounds = 40
+	for round := range rounds {
+		var writes sync.WaitGroup
+		for i, r := range routers {
+			writes.Go(func() {
+				r.gateway.MergePoisonEvidence(time.Now(), "peer", poison.Evidence{Ends: []poison.End{{
+					Incarnation: deployment.Incarnation{Server: "server", StartedAt: int64(round*len(routers) + i)},
+					Blamed:      []poison.Blamed{{Attempt: poison.Attempt(round*len(routers) + i), Keys: []poison.Key{7}}},
+				}}})
+				assert.Check(t, r.writePoisonRecord(ctx, true))
+			})
+		}
+		writes.Wait()
+		starting := newInstance("starting")
+		evidence, _ := starting.gateway.PoisonEvidence(time.Now())
+		assert.Equal(t, len(evidence.Ends), (round+1)*len(routers), "after %d rounds", round+1)
+	}
+}
--- a/internal/router/poisonstore.go
+++ b/internal/router/poisonstore.go
@@ -169,10 +169,11 @@
 func (r *Router) writePoisonRecord(ctx context.Context, partitioned bool) error {
 	c := r.poisonRecords.consumer
 	for {
+		// All before the position is merged. The reader may merge more before the evidence is taken, never less.
+		end, complete := c.position()
 		now := time.Now()
 		kept, written := r.poisonRecords.current(now)
 		evidence, due := r.gateway.PoisonRecord(now, kept, partitioned)
-		end, complete := c.position()
 		if !due || !complete {
 			return nil
 		}
